--- /dev/null
+++ b/cloverwell/__init__.py
@@ -0,0 +1,1 @@
+"""cloverwell: a memcache proxy that carries out olivestair's decisions on real sockets."""
--- /dev/null
+++ b/cloverwell/__main__.py
@@ -0,0 +1,42 @@
+"""One proxy: `python -m cloverwell`, told what it needs by the environment and its configuration file."""
+
+import gc
+import signal
+import sys
+import time
+
+from twisted.internet import reactor
+from twisted.internet.error import CannotListenError
+
+from cloverwell.config import Config, ConfigError, read_config
+from cloverwell.log import Log
+from cloverwell.service import Service
+from cloverwell.wheel import monotonic_ms
+
+
+def main() -> int:
+    try:
+        config: Config = read_config()
+    except ConfigError as error:
+        print(f"cloverwell: {error}".replace("\n", " "), file=sys.stderr)
+        return 2
+    log = Log(monotonic_ms)
+    # Unix time is compared with the monotonic clock once; a step of it later changes nothing.
+    service = Service(reactor, config, log, monotonic_ms, monotonic_ms() - time.time() * 1000.0)
+    try:
+        service.start()
+    except CannotListenError as error:
+        print(f"cloverwell: listen: {error}".replace("\n", " "), file=sys.stderr)
+        return 2
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(service.drain))
+    # What stands now stands for ever: the collector need not walk it, and seldom walks the rest.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 100)
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cloverwell/authorisation.py
@@ -0,0 +1,94 @@
+"""A request's life, whatever protocol it came by: the single owner of its final answer and of its legs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cloverwell.facade import Leg, Outcome
+from cloverwell.wheel import Timer
+
+if TYPE_CHECKING:
+    from cloverwell.net.pool import Pool
+
+
+@dataclass(slots=True, frozen=True)
+class Served:
+    """`body`: a value for a read, a receipt for a write."""
+
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Declined:
+    retry_after_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Failed:
+    pass
+
+
+Answer = Served | Declined | Failed
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A leg that is out: it ends exactly once, and tells its owner how."""
+
+    leg: Leg
+    authorisation: Authorisation
+    write_by_ms: float  # no byte of it leaves later
+    done: Callable[[Attempt, Outcome, bytes], None]
+    pool: Pool
+    timer: Timer | None = None
+    written_ms: float | None = None  # when its last byte was handed to the transport
+    over: bool = False
+
+    def end(self, outcome: Outcome, body: bytes = b"") -> None:
+        # A late answer or a second break must not be reported again, or reach another authorisation.
+        if self.over:
+            return
+        self.over = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.done(self, outcome, body)
+
+
+@dataclass(slots=True, eq=False)
+class Authorisation:
+    """Of one request: `answer` is called exactly once unless the acquirer side leaves first."""
+
+    id: str
+    class_number: int
+    tenant: int
+    key: str
+    write: bool
+    left_ms: float
+    value: bytes
+    info: str  # its names and values as they came
+    answer: Callable[[Answer], None]
+    deadline_ms: float = 0.0
+    over: bool = False
+    legs: dict[int, Attempt] = field(default_factory=dict)  # those out, by number
+    ran_ms: float | None = None  # when the first leg that may have run was written
+    guard: Timer | None = None
+
+    def finish(self, answer: Answer) -> bool:
+        """Gives the one final answer; False if it has been given."""
+        if self.over:
+            return False
+        self.close()
+        self.answer(answer)
+        return True
+
+    def close(self) -> None:
+        self.over = True
+        if self.guard is not None:
+            self.guard.cancel()
+
+    def info_with(self, wait_ms: float) -> str:
+        """The names and values with `d` as the time that we will wait, all else as it came."""
+        parts = (f"d={int(wait_ms)}" if part.startswith("d=") else part for part in self.info.split(","))
+        return ",".join(parts)
--- /dev/null
+++ b/cloverwell/config.py
@@ -0,0 +1,95 @@
+"""What a proxy is told at its start: the configuration file, and the variables that override it."""
+
+import os
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from cloverwell.net.routing_table import Listing, TableError, split_address
+from olivestair.api import Settings
+from olivestair.settings import read_settings
+
+FD_MIN = 64
+
+
+class ConfigError(Exception):
+    """The text names the field."""
+
+
+class Limits(msgspec.Struct):
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    sockets: int = 1024
+
+
+class File(msgspec.Struct):
+    listen: str = ""
+    discovery: str = ""
+    name: str = ""
+    seed: str = ""
+    limits: Limits = msgspec.field(default_factory=Limits)
+    known: Listing = msgspec.field(default_factory=lambda: Listing(0, True, []))
+    settings: Any = None
+
+
+class Config(msgspec.Struct):
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    limits: Limits
+    known: Listing
+    settings: Settings
+
+
+def read_config(environ: Mapping[str, str] = os.environ) -> Config:
+    path = environ.get("EDGE_CONFIG", "")
+    if not path:
+        raise ConfigError("EDGE_CONFIG: is not set")
+    try:
+        with open(path, "rb") as file:
+            raw = msgspec.json.decode(file.read(), type=File)
+    except OSError as error:
+        raise ConfigError(f"EDGE_CONFIG: {error.strerror}: {path}") from None
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ConfigError(f"EDGE_CONFIG: {error}") from None
+    if raw.settings is None:
+        raise ConfigError("settings: is missing")
+    if raw.limits.sockets < FD_MIN:
+        raise ConfigError(f"limits.sockets: must be at least {FD_MIN}")
+    try:
+        settings = read_settings(raw.settings)
+    except ValueError as error:
+        raise ConfigError(f"settings: {error}") from None
+    return Config(
+        name=environ.get("EDGE_NAME") or raw.name,
+        listen=_address("listen", environ.get("EDGE_LISTEN") or raw.listen),
+        discovery=_address("discovery", environ.get("EDGE_DISCOVERY") or raw.discovery),
+        seed=_seed(raw.seed),
+        limits=raw.limits,
+        known=_known(raw.known),
+        settings=settings,
+    )
+
+
+def _address(field: str, text: str) -> tuple[str, int]:
+    if not text:
+        raise ConfigError(f"{field}: is missing")
+    try:
+        return split_address(text)
+    except TableError as error:
+        raise ConfigError(f"{field}: {error}") from None
+
+
+def _seed(text: str) -> int:
+    try:
+        return int(text or "0", 16)
+    except ValueError:
+        raise ConfigError("seed: must be a hexadecimal number") from None
+
+
+def _known(listing: Listing) -> Listing:
+    for member in listing.members:
+        _address("known.members.host_port", member.host_port)
+    return listing
--- /dev/null
+++ b/cloverwell/dispatcher.py
@@ -0,0 +1,154 @@
+"""Carries the facade's choices out: legs into pools, answers to the acquirer side, calls to discovery."""
+
+from collections.abc import Callable
+
+from cloverwell import facade as f
+from cloverwell.authorisation import Attempt, Authorisation, Declined, Failed, Served
+from cloverwell.facade import Facade, Outcome
+from cloverwell.log import Log
+from cloverwell.net.pool import Pools
+from cloverwell.wheel import Wheel
+
+GUARD_MS = 4.0  # before its client gives up, an authorisation that nothing has ended is failed
+WAY_MS = 1.0  # a request's way here and an answer's way back
+
+
+class Dispatcher:
+    def __init__(self, facade: Facade, wheel: Wheel, pools: Pools, log: Log) -> None:
+        self._facade = facade
+        self._wheel = wheel
+        self._pools = pools
+        self._log = log
+        self._open: dict[str, Authorisation] = {}
+        self._settling = False
+        self.watch: Callable[[], None] = lambda: None  # the routing table's
+        self.idle: Callable[[], None] = lambda: None  # told when the last authorisation has ended
+        wheel.each_tick = self.settle
+
+    @property
+    def open_count(self) -> int:
+        return len(self._open)
+
+    def take(self, authorisation: Authorisation) -> None:
+        """A new authorisation: from here on it gets exactly one final answer."""
+        now = self._wheel.now()
+        # `d` counts from the client's send: what the loop was held up may have passed in a socket's buffer.
+        authorisation.left_ms -= WAY_MS + self._wheel.lag_ms
+        authorisation.deadline_ms = now + authorisation.left_ms
+        if authorisation.id in self._open:
+            # Ids are never used twice; one that is would mix up two clients' answers.
+            authorisation.finish(Failed())
+            return
+        bound = self._facade.settings.max_open
+        if bound and len(self._open) >= bound:
+            authorisation.finish(Declined(self._facade.settings.max_retry_after_ms))
+            return
+        self._open[authorisation.id] = authorisation
+        authorisation.guard = self._wheel.at(
+            authorisation.deadline_ms - GUARD_MS, lambda: self._overdue(authorisation)
+        )
+        self._carry_out(self._facade.pick(authorisation), authorisation)
+        self.settle()
+
+    def gone(self, authorisation: Authorisation) -> None:
+        """The acquirer side has left: nobody waits for the answer."""
+        if authorisation.over:
+            return
+        authorisation.close()
+        self._facade.report(authorisation, f.Gone())
+        if not authorisation.write:  # writes are let finish: half a payment helps nobody
+            for attempt in list(authorisation.legs.values()):
+                attempt.pool.give_up(attempt, Outcome.CALLED_OFF)
+        self._forget(authorisation)
+        self.settle()
+
+    def news(self, told: f.News | f.NoNews) -> None:
+        self._facade.report(f.Watch(), told)
+        self.settle()
+
+    def settle(self) -> None:
+        """Carries out what is due for others, until nothing is; calls from within leave it to the outer one."""
+        if self._settling:
+            return
+        self._settling = True
+        try:
+            while choices := self._facade.tick(self._wheel.now()):
+                for choice in choices:
+                    self._carry_out_other(choice)
+        finally:
+            self._settling = False
+
+    def _carry_out_other(self, choice: f.Choice) -> None:
+        match choice:
+            case f.Leg(name) | f.Decline(name) | f.Fail(name):
+                if (authorisation := self._open.get(name)) is not None:
+                    self._carry_out(choice, authorisation)
+            case f.CallOff(name, number):
+                authorisation = self._open.get(name)
+                if authorisation is not None and (attempt := authorisation.legs.get(number)) is not None:
+                    attempt.pool.give_up(attempt, Outcome.CALLED_OFF)
+            case f.HangUp(box):
+                self._pools.hang_up(box)
+            case f.Watch():
+                self.watch()
+            case f.Note(text):
+                self._log.info("decision", text)
+
+    def _carry_out(self, choice: f.Choice, authorisation: Authorisation) -> None:
+        match choice:
+            case f.Leg():
+                self._start(choice, authorisation)
+            case f.Decline(_, retry_after_ms):
+                authorisation.finish(Declined(retry_after_ms))
+                self._forget(authorisation)
+            case f.Fail():
+                authorisation.finish(Failed())
+                self._forget(authorisation)
+
+    def _start(self, leg: f.Leg, authorisation: Authorisation) -> None:
+        now = self._wheel.now()
+        settings = self._facade.settings
+        write_by = now + min(leg.timeout_ms, settings.connect_timeout_ms)
+        window = f.resend_window_ms(settings, authorisation.class_number)
+        if window is not None and authorisation.ran_ms is not None:
+            # The boxes drop a repeat for so long: one that waits for a connection must not leave after.
+            write_by = min(write_by, authorisation.ran_ms + window)
+        pool = self._pools.of(leg.box)
+        attempt = Attempt(leg, authorisation, write_by, self._ended, pool)
+        authorisation.legs[leg.number] = attempt
+        attempt.timer = self._wheel.not_before(now + leg.timeout_ms, lambda: self._timed_out(attempt))
+        pool.start(attempt)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        attempt.pool.give_up(attempt, Outcome.TIMED_OUT)
+
+    def _ended(self, attempt: Attempt, outcome: Outcome, body: bytes) -> None:
+        authorisation = attempt.authorisation
+        authorisation.legs.pop(attempt.leg.number, None)
+        if outcome not in f.NEVER_RAN and attempt.written_ms is not None:
+            authorisation.ran_ms = min(authorisation.ran_ms or attempt.written_ms, attempt.written_ms)
+        if outcome is Outcome.SERVED:
+            authorisation.finish(Served(body))
+        choice = self._facade.report(attempt.leg, outcome, authorisation.over)
+        if not authorisation.over:
+            self._carry_out(choice, authorisation)
+        self._forget(authorisation)
+        self.settle()
+
+    def _overdue(self, authorisation: Authorisation) -> None:
+        # The module ends every request in time; this guards the client against a fault in either of us.
+        if authorisation.finish(Failed()):
+            self._log.warn("overdue", f"authorisation {authorisation.id} was failed at its deadline")
+            self._facade.report(authorisation, f.Gone())
+            for attempt in list(authorisation.legs.values()):
+                attempt.pool.give_up(attempt, Outcome.TIMED_OUT)
+            self._forget(authorisation)
+            self.settle()
+
+    def _forget(self, authorisation: Authorisation) -> None:
+        if not authorisation.over or authorisation.legs:
+            return
+        if self._open.pop(authorisation.id, None) is not None:
+            self._facade.forget(authorisation.id)
+            if not self._open:
+                self.idle()
--- /dev/null
+++ b/cloverwell/facade.py
@@ -0,0 +1,219 @@
+"""The decision module in blocking style: pick, report, tick. Its events and actions end here.
+
+`pick` and `report` return the choice for the authorisation in hand; whatever the module decides on the way
+for others is kept for the next `tick`, which the loop calls after each of them.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from olivestair import Balancer, api
+from olivestair.api import Effect, ListKind, ServerEntry, Status
+
+
+class Outcome(Enum):
+    """How a leg ended."""
+
+    SERVED = Status.OK
+    MISS = Status.MISS
+    BUSY = Status.FULL
+    ERROR = Status.ERROR
+    TIMED_OUT = Status.TIMEOUT
+    NOT_CONNECTED = Status.CONNECT_FAILED
+    RESET = Status.RESET
+    CALLED_OFF = Status.CANCELLED
+
+
+NEVER_RAN = tuple(Outcome(status) for status in api.NEVER_RAN if status is not Status.MOOT)
+
+
+class Subject(Protocol):
+    """What the facade has to know of an authorisation."""
+
+    id: str
+    class_number: int
+    tenant: int
+    key: str | None
+    write: bool
+    left_ms: float
+    over: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Leg:
+    """One attempt, to be made now."""
+
+    authorisation: str
+    box: str
+    number: int
+    timeout_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Wait:
+    """Nothing to do for now; a later `tick` has the next choice."""
+
+
+@dataclass(slots=True, frozen=True)
+class Decline:
+    """Final answer: a new try does no harm, best after that time."""
+
+    authorisation: str
+    retry_after_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Fail:
+    """Final answer that promises nothing."""
+
+    authorisation: str
+
+
+@dataclass(slots=True, frozen=True)
+class CallOff:
+    """Stop waiting for a leg that is out."""
+
+    authorisation: str
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class HangUp:
+    """Close the idle connections to a box."""
+
+    box: str
+
+
+@dataclass(slots=True, frozen=True)
+class Watch:
+    """Discovery's news are wanted from now; report them, or the failure, with `report`."""
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """A line for the log."""
+
+    text: str
+
+
+@dataclass(slots=True, frozen=True)
+class News:
+    """What discovery told: the whole list, or just what changed."""
+
+    revision: int
+    complete: bool
+    entries: tuple[ServerEntry, ...]
+    held: bool = False  # the list as this proxy had it before it started
+
+
+@dataclass(slots=True, frozen=True)
+class NoNews:
+    """A call to discovery failed; the list stays."""
+
+
+@dataclass(slots=True, frozen=True)
+class Gone:
+    """The acquirer side has gone away; reported with the authorisation."""
+
+
+Choice = Leg | Wait | Decline | Fail | CallOff | HangUp | Watch | Note
+WAIT = Wait()
+
+
+class Facade:
+    def __init__(self, settings: api.Settings, seed: int, now: Callable[[], float]) -> None:
+        self.settings = settings
+        self._balancer = Balancer(settings, seed)
+        self._now = now
+        self._timers: list[tuple[float, int]] = []
+        self._pending: deque[Choice] = deque()
+        self._legs: dict[str, int] = {}  # legs chosen so far, of the authorisations that are open
+
+    def pick(self, authorisation: Subject) -> Choice:
+        """The first choice for a new authorisation."""
+        event = api.Request(
+            authorisation.id,
+            authorisation.class_number,
+            authorisation.left_ms,
+            authorisation.key,
+            authorisation.tenant,
+            authorisation.write,
+        )
+        return self._hand_over(self._now(), event, authorisation.id)
+
+    def report(
+        self, subject: "Leg | Subject | Watch", outcome: Outcome | Gone | News | NoNews, over: bool = False
+    ) -> Choice:
+        """How a leg or a watch ended, or that the acquirer side left; `over`: its answer has been given."""
+        now = self._now()
+        match outcome:
+            case Outcome():
+                name = subject.authorisation
+                ended = over or outcome is Outcome.SERVED
+                event = api.Outcome(name, subject.box, subject.number, outcome.value, 0.0, ended)
+                return self._hand_over(now, event, name)
+            case Gone():
+                return self._hand_over(now, api.ClientGone(subject.id), subject.id)
+            case News():
+                kind = ListKind.FULL if outcome.complete else ListKind.DELTA
+                kind = ListKind.CACHED if outcome.held else kind
+                return self._hand_over(now, api.ServerList(kind, outcome.revision, outcome.entries), None)
+            case NoNews():
+                return self._hand_over(now, api.ServerList(ListKind.FAILED), None)
+
+    def tick(self, now: float) -> list[Choice]:
+        """The choices that are due for others: what the last calls left, and what timers bring."""
+        while self._timers and self._timers[0][0] <= now:
+            _, token = heapq.heappop(self._timers)
+            self._hand_over(now, api.TimerDue(token), None)
+        due, self._pending = list(self._pending), deque()
+        return due
+
+    def forget(self, authorisation: str) -> None:
+        """An authorisation is over and none of its legs is out."""
+        self._legs.pop(authorisation, None)
+
+    def _hand_over(self, now: float, event: api.Event, mine: str | None) -> Choice:
+        choice: Choice = WAIT
+        for action in self._balancer.handle(now, event):
+            if type(action) is api.SetTimer:
+                heapq.heappush(self._timers, (now + action.delay_ms, action.token))
+                continue
+            meant = self._read(action)
+            for_one = isinstance(meant, Leg | Decline | Fail)
+            if for_one and choice is WAIT and meant.authorisation == mine:
+                choice = meant
+            else:
+                self._pending.append(meant)
+        return choice
+
+    def _read(self, action: api.Action) -> Choice:
+        match action:
+            case api.Send(name, box, timeout_ms):
+                number = self._legs.get(name, 0)
+                self._legs[name] = number + 1
+                return Leg(name, box, number, timeout_ms)
+            case api.Refuse(name, retry_after_ms):
+                return Decline(name, retry_after_ms)
+            case api.Fail(name):
+                return Fail(name)
+            case api.Cancel(name, number):
+                return CallOff(name, number)
+            case api.Close(box):
+                return HangUp(box)
+            case api.Subscribe():
+                return Watch()
+            case api.Log(text):
+                return Note(text)
+        # Probes are never carried out: this deployment forbids them, and so do the settings.
+        return Note(f"not carried out: {action}")
+
+
+def resend_window_ms(settings: api.Settings, class_number: int) -> float | None:
+    """How long after a leg that may have run a further one may leave; None where the class sets no limit."""
+    cls = settings.classes[class_number]
+    return cls.window_ms if cls.effect is Effect.KEYED else None
--- /dev/null
+++ b/cloverwell/log.py
@@ -0,0 +1,34 @@
+"""The proxy's log on standard error: one line an event, and not too many of a kind."""
+
+import sys
+from collections.abc import Callable
+from typing import TextIO
+
+PER_SECOND = 5  # lines of one kind: an outage repeats itself thousands of times a second
+
+
+class Log:
+    def __init__(self, now: Callable[[], float], stream: TextIO | None = None) -> None:
+        self._now = now
+        self._stream = stream or sys.stderr
+        self._kinds: dict[str, tuple[float, int]] = {}  # kind -> second's start, lines since
+
+    def info(self, kind: str, text: str) -> None:
+        self._write("info", kind, text)
+
+    def warn(self, kind: str, text: str) -> None:
+        self._write("warn", kind, text)
+
+    def _write(self, level: str, kind: str, text: str) -> None:
+        now = self._now()
+        since, lines = self._kinds.get(kind, (now, 0))
+        if now - since >= 1000.0:
+            if lines > PER_SECOND:
+                self._line(level, kind, f"{lines - PER_SECOND} more lines of this kind were left out")
+            since, lines = now, 0
+        self._kinds[kind] = (since, lines + 1)
+        if lines < PER_SECOND:
+            self._line(level, kind, text)
+
+    def _line(self, level: str, kind: str, text: str) -> None:
+        print(f"{self._now():.0f} {level} {kind}: {text}", file=self._stream, flush=True)
--- /dev/null
+++ b/cloverwell/net/acquirer.py
@@ -0,0 +1,245 @@
+"""The acquirer side: clients that speak the memcache meta commands."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.python.failure import Failure
+
+from cloverwell.authorisation import Answer, Authorisation, Declined, Served
+from cloverwell.dispatcher import Dispatcher
+from cloverwell.net.lines import MAX_VALUE, RingLineReceiver
+from olivestair.api import Settings
+
+AHEAD = 64  # commands of one connection in hand at once: a client that pipelines more is not read for a while
+MAX_KEY, MAX_ID, MAX_WAIT_MS = 250, 64, 3_600_000
+BUSY_MS = 1000  # how long a client should keep away from a proxy that is short of descriptors
+FAILED = b"SERVER_ERROR failed\r\n"
+
+
+class CommandError(Exception):
+    """What is wrong with a command, in words for the client."""
+
+
+class Turn:
+    """One command's place in the order of answers."""
+
+    __slots__ = ("authorisation", "data")
+
+    def __init__(self, data: bytes | None = None) -> None:
+        self.data = data
+        self.authorisation: Authorisation | None = None
+
+
+class Acquirer(RingLineReceiver):
+    """One client's connection: commands become authorisations, answers leave in the order of the commands."""
+
+    def __init__(self, side: AcquirerSide) -> None:
+        super().__init__()
+        self._side = side
+        self._turns: deque[Turn] = deque()
+        self._write: Turn | None = None  # its authorisation waits for the value
+        self._skip = 0  # bytes to pass over, of a value that is not wanted
+        self._error = b""  # answers the command whose value is passed over
+        self._closing = False  # ends between requests, once all that was taken is answered
+        self._lost = False  # framing is lost: nothing more is read, the answers that are owed leave
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self._side.connections.add(self)
+
+    # Commands ----------------------------------------------------------------------------------
+
+    def lineReceived(self, line: bytes) -> None:
+        if not line.isascii():
+            return self._reject("not ASCII")
+        words = line.decode().split(" ")
+        match words[0]:
+            case "mn" if len(words) == 1:
+                self._answer(Turn(), b"MN\r\n")
+            case "mg":
+                self._read(words)
+            case "ms":
+                self._store(words)
+            case _:
+                self._reject("unknown command")
+        return None
+
+    def _read(self, words: list[str]) -> None:
+        try:
+            if len(words) < 3 or words[2] != "v":
+                raise CommandError("mg needs a key and v")
+            turn = self._authorise(words[1], words[3:], write=False)
+        except CommandError as error:
+            return self._reject(str(error))
+        return self._take(turn)
+
+    def _store(self, words: list[str]) -> None:
+        length = words[2] if len(words) > 2 else ""
+        if not length.isdigit() or len(length) > 9:
+            return self._lose("ms needs a key and a length")
+        number = int(length)
+        try:
+            if number > MAX_VALUE:
+                raise CommandError("value too large")
+            self._write = self._authorise(words[1], words[3:], write=True)
+        except CommandError as error:
+            # The length is known: the value is passed over, and the connection stays in step.
+            self._error, self._skip = f"CLIENT_ERROR {error}\r\n".encode(), number + 2
+            return self._pass_over()
+        return self.expect_value(number + 2)
+
+    def _pass_over(self) -> None:
+        piece = min(self._skip, MAX_VALUE)
+        self._skip -= piece
+        self.expect_value(piece)
+
+    def valueReceived(self, data: bytes) -> None:
+        if self._error:
+            if self._skip:
+                return self._pass_over()
+            error, self._error = self._error, b""
+            return self._answer(Turn(), error)
+        turn, self._write = self._write, None
+        if not data.endswith(b"\r\n"):
+            return self._lose("bad data chunk")
+        turn.authorisation.value = data[:-2]
+        return self._take(turn)
+
+    def _authorise(self, key: str, flags: list[str], write: bool) -> Turn:
+        if not 0 < len(key) <= MAX_KEY or not key.isprintable():
+            raise CommandError("bad key")
+        named = {flag[:1]: flag[1:] for flag in flags if flag}
+        name, info = named.get("O", ""), named.get("P", "")
+        if len(flags) != 2 or set(named) != {"O", "P"}:
+            raise CommandError("needs the flags O and P")
+        if not 0 < len(name) <= MAX_ID or not name.isprintable():
+            raise CommandError("bad id")
+        if not info.isprintable():
+            raise CommandError("bad P")
+        values = dict(part.partition("=")[::2] for part in info.split(","))
+        classes, tenants = self._side.classes, self._side.tenants
+        if values.get("c") not in classes:
+            raise CommandError("unknown class")
+        if tenants and values.get("t") not in tenants:
+            raise CommandError("unknown tenant")
+        wait = values.get("d", "")
+        if not wait.isdigit() or not 0 < len(wait) <= 9 or not 0 < int(wait) <= MAX_WAIT_MS:
+            raise CommandError("missing or bad d")
+        turn = Turn()
+        authorisation = Authorisation(
+            id=name,
+            class_number=classes[values["c"]],
+            tenant=tenants.get(values.get("t", ""), 0),
+            key=key,
+            write=write,
+            left_ms=float(wait),
+            value=b"",
+            info=info,
+            answer=lambda answer: self._answer(turn, self._words(authorisation, answer)),
+        )
+        turn.authorisation = authorisation
+        return turn
+
+    def _words(self, authorisation: Authorisation, answer: Answer) -> bytes:
+        match answer:
+            case Served(body) if authorisation.write:
+                return b"HD O" + authorisation.id.encode() + b" c" + body + b"\r\n"
+            case Served(body):
+                return f"VA {len(body)} O{authorisation.id}\r\n".encode() + body + b"\r\n"
+            case Declined(retry_after_ms):
+                wait = f" {round(retry_after_ms)}" if retry_after_ms >= 1 else ""
+                return f"SERVER_ERROR busy{wait}\r\n".encode()
+        return FAILED
+
+    def _take(self, turn: Turn) -> None:
+        self._turns.append(turn)
+        if len(self._turns) >= AHEAD:
+            self.hold()
+        if self._side.crowded():
+            turn.authorisation.finish(Declined(BUSY_MS))
+        else:
+            self._side.dispatcher.take(turn.authorisation)
+
+    def _reject(self, reason: str) -> None:
+        self._answer(Turn(), f"CLIENT_ERROR {reason}\r\n".encode())
+
+    def _lose(self, reason: str) -> None:
+        """Framing is lost: the answers that are owed still leave, and this one is the last."""
+        self._lost = True
+        self.hold()
+        self._reject(reason)
+
+    def framingLost(self, reason: str) -> None:
+        self._lose(reason)
+
+    # Answers -----------------------------------------------------------------------------------
+
+    def _answer(self, turn: Turn, data: bytes) -> None:
+        turn.data = data
+        if turn.authorisation is None:
+            self._turns.append(turn)
+        self._flush()
+
+    def _flush(self) -> None:
+        """Sends the answers whose turn it is, as far as there is room."""
+        while self._turns and self._turns[0].data is not None:
+            if not self.put(self._turns[0].data):
+                break
+            self._turns.popleft()
+        if (self._lost and not self._turns) or (self._closing and self.between_requests):
+            self.end()
+        elif len(self._turns) >= AHEAD:
+            self.hold()
+        elif not self._lost:
+            self.release()
+
+    def roomMade(self) -> None:
+        self._flush()
+
+    # The end -----------------------------------------------------------------------------------
+
+    @property
+    def between_requests(self) -> bool:
+        return not self._turns and not len(self._in) and not self._wanted
+
+    def close_after(self) -> None:
+        """Closes between requests: now, or once what was taken is answered."""
+        if self.between_requests:
+            self.end()
+        else:
+            self._closing = True
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        super().connectionLost(reason)
+        self._side.connections.discard(self)
+        turns, self._turns = self._turns, deque()
+        for turn in turns:
+            if turn.authorisation is not None:
+                self._side.dispatcher.gone(turn.authorisation)
+
+
+class AcquirerSide(Factory):
+    """All clients' connections, within their part of the descriptors."""
+
+    noisy = False
+
+    def __init__(self, settings: Settings, dispatcher: Dispatcher, budget: int) -> None:
+        self.dispatcher = dispatcher
+        self.classes = {cls.name: place for place, cls in enumerate(settings.classes)}
+        self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
+        self.connections: set[Acquirer] = set()
+        self._budget = budget
+
+    def buildProtocol(self, addr: IPv4Address) -> Acquirer:
+        return Acquirer(self)
+
+    def crowded(self) -> bool:
+        """Near the limit new work is declined: an accept that fails for want of descriptors loses requests."""
+        return len(self.connections) > self._budget
+
+    def drain(self) -> None:
+        for connection in list(self.connections):
+            connection.close_after()
--- /dev/null
+++ b/cloverwell/net/cache_leg.py
@@ -0,0 +1,50 @@
+"""Legs to a cache box, in memcache meta commands."""
+
+from cloverwell.authorisation import Attempt
+from cloverwell.facade import Outcome
+from cloverwell.net.lines import MAX_VALUE, FramingError
+from cloverwell.net.pool import BoxConnection
+
+
+class CacheConnection(BoxConnection):
+    def command(self, attempt: Attempt) -> bytes:
+        authorisation = attempt.authorisation
+        info = authorisation.info_with(attempt.leg.timeout_ms)
+        if not authorisation.write:
+            return f"mg {authorisation.key} v O{authorisation.id} P{info}\r\n".encode()
+        line = f"ms {authorisation.key} {len(authorisation.value)} O{authorisation.id} P{info}\r\n"
+        return line.encode() + authorisation.value + b"\r\n"
+
+    def lineReceived(self, line: bytes) -> None:
+        if not self.legs:
+            raise FramingError("an answer that no leg waits for")
+        words = line.split()
+        match words[:1]:
+            case [b"VA"] if len(words) >= 3 and words[1].isdigit() and int(words[1]) <= MAX_VALUE:
+                self._check_id(words[2:])
+                self.expect_value(int(words[1]) + 2)
+            case [b"HD"]:
+                self._check_id(words[1:])
+                receipts = [word[1:] for word in words[1:] if word.startswith(b"c")]
+                if not receipts:
+                    raise FramingError("a receipt is missing")
+                self.finish_leg(Outcome.SERVED, receipts[0])
+            case [b"EN"]:
+                self._check_id(words[1:])
+                self.finish_leg(Outcome.MISS)
+            case [b"SERVER_ERROR"] if words[1:2] == [b"busy"]:
+                self.finish_leg(Outcome.BUSY)
+            case [b"SERVER_ERROR"] if words[1:2] == [b"failed"]:
+                self.finish_leg(Outcome.ERROR)
+            case _:
+                raise FramingError(f"unknown line {line[:60]!r}")
+
+    def valueReceived(self, data: bytes) -> None:
+        if not data.endswith(b"\r\n"):
+            raise FramingError("a value without its line end")
+        self.finish_leg(Outcome.SERVED, data[:-2])
+
+    def _check_id(self, flags: list[bytes]) -> None:
+        # An answer under another id is another request's: it must not reach this one.
+        if b"O" + self.legs[0].authorisation.id.encode() not in flags:
+            raise FramingError("an answer under another id")
--- /dev/null
+++ b/cloverwell/net/http.py
@@ -0,0 +1,103 @@
+"""The answers of HTTP/1.1, line by line: what the origin's legs and discovery's watch have in common."""
+
+from cloverwell.net.lines import FramingError, RingLineReceiver
+
+MAX_HEADERS = 64
+
+
+def request(method: str, target: str, host: str, headers: dict[str, str], body: bytes | None = None) -> bytes:
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
+
+
+class HttpReceiver(RingLineReceiver):
+    """Calls `answered` once for each whole answer; bodies have a length or come in chunks."""
+
+    max_body = 64 * 1024
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._reset()
+
+    def _reset(self) -> None:
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self._got = 0
+        self._chunked = self._trailer = False
+
+    def lineReceived(self, line: bytes) -> None:
+        if self._trailer:
+            if not line:
+                self._whole()
+        elif self._chunked:
+            self._chunk(line)
+        elif not self._status:
+            self._status_line(line)
+        elif line:
+            name, colon, value = line.decode("latin-1").partition(":")
+            if not colon or len(self._headers) >= MAX_HEADERS:
+                raise FramingError("malformed header")
+            self._headers[name.strip().lower()] = value.strip()
+        else:
+            self._headers_whole()
+
+    def _status_line(self, line: bytes) -> None:
+        parts = line.split(None, 2)
+        if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not parts[1].isdigit():
+            raise FramingError("malformed status line")
+        self._status = int(parts[1])
+
+    def _headers_whole(self) -> None:
+        if self._status < 200:  # an interim answer; the real one follows
+            return self._reset()
+        if self._headers.get("transfer-encoding", "").lower() == "chunked":
+            self._chunked = True
+            return None
+        length = self._headers.get("content-length", "0" if self._status in (204, 304) else "")
+        if not length.isascii() or not length.isdigit() or int(length) > self.max_body:
+            raise FramingError("body of no usable length")
+        self._left = int(length)
+        return self._more()
+
+    def _more(self) -> None:
+        """A body may be larger than the ring: it comes in pieces."""
+        if self._left:
+            piece = min(self._left, self.ring_bytes // 2)
+            self._left -= piece
+            self.expect_value(piece)
+        else:
+            self._whole()
+
+    def _chunk(self, line: bytes) -> None:
+        if not line and self._got:  # the line end behind a chunk
+            return
+        try:
+            size = int(line.split(b";")[0], 16)
+        except ValueError:
+            raise FramingError("malformed chunk") from None
+        if size < 0 or self._got + size > self.max_body:
+            raise FramingError("body too long")
+        self._left = 0
+        if size:
+            self._left = size
+            self._more()
+        else:
+            self._trailer = True
+
+    def valueReceived(self, data: bytes) -> None:
+        self._body.append(data)
+        self._got += len(data)
+        if self._left or not self._chunked:
+            self._more()
+
+    def _whole(self) -> None:
+        status, headers, body = self._status, self._headers, b"".join(self._body)
+        self._reset()
+        self.answered(status, headers, body)
+
+    def answered(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/cloverwell/net/origin_leg.py
@@ -0,0 +1,46 @@
+"""Legs to the origin, in HTTP/1.1."""
+
+from urllib.parse import quote
+
+from cloverwell.authorisation import Attempt
+from cloverwell.facade import Outcome
+from cloverwell.net.http import HttpReceiver, request
+from cloverwell.net.lines import FramingError
+from cloverwell.net.pool import BoxConnection, Pool
+
+
+class OriginConnection(HttpReceiver, BoxConnection):
+    def __init__(self, pool: Pool) -> None:
+        BoxConnection.__init__(self, pool)
+        self._reset()
+
+    def command(self, attempt: Attempt) -> bytes:
+        authorisation = attempt.authorisation
+        headers = {
+            "Request-Id": authorisation.id,
+            "Request-Info": authorisation.info_with(attempt.leg.timeout_ms),
+        }
+        method, body = ("PUT", authorisation.value) if authorisation.write else ("GET", None)
+        host, port = self._pool.address
+        return request(method, "/" + quote(authorisation.key), f"{host}:{port}", headers, body)
+
+    def answered(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        if not self.legs:
+            raise FramingError("an answer that no leg waits for")
+        if headers.get("request-id", self.legs[0].authorisation.id) != self.legs[0].authorisation.id:
+            raise FramingError("an answer under another id")
+        closing = headers.get("connection", "").lower() == "close"
+        if closing:
+            self.ended = True  # no further leg is written to it
+        if status == 200:
+            outcome = Outcome.SERVED
+        elif status in (503, 504) and headers.get("not-started") == "1":
+            outcome = Outcome.BUSY
+        elif 500 <= status < 600:
+            outcome = Outcome.ERROR
+        else:
+            raise FramingError(f"unknown status {status}")
+        self.finish_leg(outcome, body if outcome is Outcome.SERVED else b"")
+        if closing:
+            self.ended = False
+            self.drop(Outcome.RESET)
--- /dev/null
+++ b/cloverwell/net/routing_table.py
@@ -0,0 +1,241 @@
+"""Discovery's list: the watch that follows it, and where each box is reached."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import msgspec
+from twisted.internet.interfaces import IAddress, IReactorTCP
+from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.python.failure import Failure
+
+from cloverwell.facade import News, NoNews
+from cloverwell.log import Log
+from cloverwell.net.http import HttpReceiver, request
+from cloverwell.net.pool import Pools
+from cloverwell.wheel import Timer, Wheel
+from olivestair.api import ServerEntry, ServerState, Settings
+
+WAIT_SHARE = 0.5  # of `ask-within`: what a watch may wait for, so that a silent one is found out in time
+ANSWER_MS = 1900.0  # discovery is told to wait so long at most; its answer may take this much longer
+MAX_LIST = 1024 * 1024
+
+PHASES = {
+    "in_service": ServerState.READY,
+    "terminating": ServerState.DRAINING,
+    "terminated": ServerState.GONE,
+}
+
+
+class Member(msgspec.Struct):
+    id: str
+    host_port: str
+    locality: str = ""
+    flavor: str = ""
+    cell: int = 0
+    phase: str = "in_service"
+    size: float = 1.0
+    up_since_ms: float = 0.0
+
+
+class Listing(msgspec.Struct):
+    """What discovery answers, and the form of `known` in the configuration."""
+
+    revision: int
+    complete: bool
+    members: list[Member]
+
+
+class TableError(ValueError):
+    """A listing that can't be used."""
+
+
+def split_address(text: str) -> tuple[str, int]:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise TableError(f"not an address: {text[:60]!r}")
+    return host, int(port)
+
+
+class RoutingTable:
+    """Tells the facade what discovery says, and the pools where a box is."""
+
+    def __init__(
+        self,
+        reactor: IReactorTCP,
+        wheel: Wheel,
+        settings: Settings,
+        pools: Pools,
+        log: Log,
+        discovery: tuple[str, int],
+        epoch_ms: float,
+    ) -> None:
+        """`epoch_ms`: what the wheel's clock showed when Unix time was 0."""
+        self.tell: Callable[[News | NoNews], None] = lambda told: None
+        self._reactor = reactor
+        self._wheel = wheel
+        self._settings = settings
+        self._pools = pools
+        self._log = log
+        self._discovery = discovery
+        self._epoch_ms = epoch_ms
+        self._revision = 0
+        self._call: Call | None = None
+        self._connection: WatchConnection | None = None
+        self._stopped = False
+
+    # The list ----------------------------------------------------------------------------------
+
+    def start(self, known: Listing) -> None:
+        self._take(known, held=True)
+
+    def _take(self, listing: Listing, held: bool = False) -> None:
+        # All is read before any of it takes effect: half a list would be worse than none.
+        addresses = [split_address(member.host_port) for member in listing.members]
+        entries = tuple(self._entry(member) for member in listing.members)
+        for entry, (host, port) in zip(entries, addresses, strict=True):
+            if entry.state is ServerState.READY:
+                self._pools.name(entry.server, host, port, entry.kind == self._settings.origin_kind)
+        self._revision = listing.revision
+        self.tell(News(listing.revision, listing.complete, entries, held))
+        # Told that a box drains, nothing new may go there: its idle connections are of no more use.
+        listed = {entry.server for entry in entries if entry.state is ServerState.READY}
+        leaving = {entry.server for entry in entries} - listed
+        if listing.complete:
+            leaving |= self._pools.names() - listed
+        for box in leaving:
+            self._pools.hang_up(box)
+
+    def _entry(self, member: Member) -> ServerEntry:
+        if member.phase not in PHASES:
+            raise TableError(f"unknown phase {member.phase[:60]!r}")
+        started = member.up_since_ms + self._epoch_ms if member.up_since_ms else 0.0
+        return ServerEntry(
+            server=member.id,
+            state=PHASES[member.phase],
+            weight=member.size,
+            started_ms=started,
+            kind=self._place(self._settings.machine_types, member.flavor),
+            zone=self._place(self._settings.zones, member.locality),
+            cell=member.cell,
+        )
+
+    def _place(self, names: Sequence[str], name: str) -> int:
+        # A name that the settings do not have is none of the known ones; it must not be taken for the first.
+        return names.index(name) if name in names else len(names)
+
+    # The watch ---------------------------------------------------------------------------------
+
+    def watch(self) -> None:
+        """The facade wants news: a call is begun unless one is out."""
+        if self._call is not None or self._stopped:
+            return
+        wait_ms = WAIT_SHARE * self._settings.ask_within_ms
+        self._call = Call(self, self._wheel.not_before(self._wheel.now() + wait_ms + ANSWER_MS, self._silent))
+        target = f"/v1/servers?after={self._revision}&wait_ms={int(wait_ms)}"
+        if self._connection is not None and not self._connection.ended:
+            self._connection.call(target)
+        else:
+            self._open(target)
+
+    def _open(self, target: str) -> None:
+        host, port = self._discovery
+        opener = _Opener(self, target)
+        self._reactor.connectTCP(host, port, opener, timeout=self._settings.connect_timeout_ms / 1000.0)
+
+    def opened(self, connection: WatchConnection) -> None:
+        self._connection = connection
+
+    def answered(self, status: int, body: bytes) -> None:
+        if self._call is None:
+            return
+        if status != 200:
+            return self.failed(f"status {status}")
+        try:
+            listing = msgspec.json.decode(body, type=Listing)
+            self._take(listing)
+        except (msgspec.MsgspecError, TableError, UnicodeDecodeError) as error:
+            return self.failed(f"malformed: {error}")
+        self._end_call()
+        # A later call would begin a new watch, and what changed in between be told late.
+        self.watch()
+        return None
+
+    def failed(self, reason: str) -> None:
+        """The list stays; the facade says when to ask again."""
+        if self._call is None:
+            return
+        self._end_call()
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.end(abort=True)
+        if not self._stopped:
+            self._log.warn("discovery", f"call failed: {reason}")
+            self.tell(NoNews())
+
+    def _silent(self) -> None:
+        self.failed("no answer in time")
+
+    def _end_call(self) -> None:
+        call, self._call = self._call, None
+        if call is not None:
+            call.timer.cancel()
+
+    def stop(self) -> None:
+        self._stopped = True
+        self.failed("stopped")
+
+
+class Call:
+    __slots__ = ("table", "timer")
+
+    def __init__(self, table: RoutingTable, timer: Timer) -> None:
+        self.table = table
+        self.timer = timer
+
+
+class WatchConnection(HttpReceiver):
+    max_body = MAX_LIST
+
+    def __init__(self, table: RoutingTable, target: str, host: str) -> None:
+        super().__init__()
+        self._table = table
+        self._target = target
+        self._host = host
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self._table.opened(self)
+        self.call(self._target)
+
+    def call(self, target: str) -> None:
+        self.put(request("GET", target, self._host, {}))
+
+    def answered(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        if headers.get("connection", "").lower() == "close":
+            self.end()
+        self._table.answered(status, body)
+
+    def framingLost(self, reason: str) -> None:
+        self.end(abort=True)
+        self._table.failed(f"malformed: {reason}")
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        was_ended = self.ended
+        super().connectionLost(reason)
+        if not was_ended:
+            self._table.failed("connection lost")
+
+
+class _Opener(ClientFactory):
+    noisy = False
+
+    def __init__(self, table: RoutingTable, target: str) -> None:
+        self._table = table
+        self._target = target
+
+    def buildProtocol(self, addr: IAddress) -> WatchConnection:
+        return WatchConnection(self._table, self._target, f"{addr.host}:{addr.port}")
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        self._table.failed(f"not connected: {reason.getErrorMessage()}")
--- /dev/null
+++ b/cloverwell/service.py
@@ -0,0 +1,84 @@
+"""The parts of one proxy put together, and its end."""
+
+from collections.abc import Callable
+
+from cloverwell.config import Config
+from cloverwell.dispatcher import Dispatcher
+from cloverwell.facade import Facade
+from cloverwell.log import Log
+from cloverwell.net.acquirer import AcquirerSide
+from cloverwell.net.cache_leg import CacheConnection
+from cloverwell.net.origin_leg import OriginConnection
+from cloverwell.net.pool import BoxConnection, Pool, Pools
+from cloverwell.net.routing_table import RoutingTable
+from cloverwell.wheel import Wheel
+
+SPARE_DESCRIPTORS = 32  # standard streams, the reactor's own, discovery, and some to accept and decline with
+CLIENT_SHARE = 0.6  # of the other descriptors
+BACKLOG = 512
+ACCEPT_MS = 500.0  # after SIGTERM clients may not have heard yet: new connections are taken for so long
+CLOSE_MS = 750.0  # and what comes on open ones is answered for longer than they may still be used
+
+
+def build(pool: Pool) -> BoxConnection:
+    return OriginConnection(pool) if pool.origin else CacheConnection(pool)
+
+
+class Service:
+    def __init__(self, reactor, config: Config, log: Log, now: Callable[[], float], epoch_ms: float) -> None:
+        settings = config.settings
+        self._reactor = reactor
+        self._config = config
+        self._log = log
+        self.wheel = Wheel(reactor, settings.granularity_ms, now)
+        usable = config.limits.sockets - SPARE_DESCRIPTORS
+        clients = int(CLIENT_SHARE * usable)
+        self.pools = Pools(
+            reactor,
+            self.wheel,
+            log,
+            build,
+            usable - clients,
+            settings.legs_per_connection,
+            settings.connect_timeout_ms,
+            settings.idle_close_ms,
+        )
+        self.dispatcher = Dispatcher(Facade(settings, config.seed, now), self.wheel, self.pools, log)
+        self.table = RoutingTable(reactor, self.wheel, settings, self.pools, log, config.discovery, epoch_ms)
+        self.table.tell = self.dispatcher.news
+        self.dispatcher.watch = self.table.watch
+        self.side = AcquirerSide(settings, self.dispatcher, clients)
+        self._port = None
+        self._draining = False
+
+    def start(self) -> None:
+        """Listens only when the list is known: who connects is served."""
+        self.wheel.start()
+        self.table.start(self._config.known)
+        host, port = self._config.listen
+        self._port = self._reactor.listenTCP(port, self.side, backlog=BACKLOG, interface=host)
+        self._log.info("start", f"{self._config.name or 'proxy'} serves on {host}:{port}")
+
+    def drain(self) -> None:
+        """A planned end: all that was taken is answered, then the program ends."""
+        if self._draining:
+            return
+        self._draining = True
+        self._log.info("stop", f"draining, {self.dispatcher.open_count} authorisations open")
+        now = self.wheel.now()
+        self.wheel.not_before(now + ACCEPT_MS, self._stop_listening)
+        self.wheel.not_before(now + CLOSE_MS, self._finish)
+
+    def _stop_listening(self) -> None:
+        if self._port is not None:
+            self._port.stopListening()
+        self.side.drain()
+
+    def _finish(self) -> None:
+        """Closes clients' connections between requests, until none is left."""
+        self.side.drain()
+        if self.side.connections or self.dispatcher.open_count:
+            self.wheel.at(self.wheel.now() + self.wheel.granularity_ms, self._finish)
+            return
+        self._log.info("stop", "all is answered")
+        self._reactor.stop()
--- /dev/null
+++ b/cloverwell/wheel.py
@@ -0,0 +1,90 @@
+"""The proxy's clock and its timer wheel of coarse ticks."""
+
+import math
+import time
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorTime
+
+SLOTS = 1024
+
+
+def monotonic_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
+class Timer:
+    """One entry of the wheel; `cancel` may be called at any time."""
+
+    __slots__ = ("call", "tick")
+
+    def __init__(self, tick: int, call: Callable[[], None]) -> None:
+        self.tick = tick
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Wheel:
+    """Fires deadlines at the last tick that does not overrun them.
+
+    One tick costs the reactor one delayed call, however many timers there are. The clock is monotonic: a
+    step of the wall clock must not end every request at once.
+    """
+
+    def __init__(
+        self, reactor: IReactorTime, granularity_ms: float, now: Callable[[], float] = monotonic_ms
+    ) -> None:
+        self.now = now
+        self.granularity_ms = max(1.0, granularity_ms)
+        self.lag_ms = 0.0  # how late the last tick came: the loop, or the machine, was held up so long
+        self.each_tick: Callable[[], None] = lambda: None
+        self._reactor = reactor
+        self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
+        self._tick = math.floor(now() / self.granularity_ms)
+        self._next: Callable[[], None] | None = None
+
+    def start(self) -> None:
+        self._arm()
+
+    def _arm(self) -> None:
+        due_ms = (self._tick + 1) * self.granularity_ms
+        self._reactor.callLater(max(0.0, due_ms - self.now()) / 1000.0, self._turn)
+
+    def at(self, deadline_ms: float, call: Callable[[], None]) -> Timer:
+        """Rounds down: the call comes before the deadline, or with the next tick where that is past."""
+        return self._put(math.floor(deadline_ms / self.granularity_ms), call)
+
+    def not_before(self, due_ms: float, call: Callable[[], None]) -> Timer:
+        """Rounds up: for a leg's end, since one called out early would be given a second leg of a few ms."""
+        return self._put(math.ceil(due_ms / self.granularity_ms), call)
+
+    def _put(self, tick: int, call: Callable[[], None]) -> Timer:
+        tick = max(self._tick + 1, tick)
+        timer = Timer(tick, call)
+        self._slots[tick % SLOTS].append(timer)
+        return timer
+
+    def _turn(self) -> None:
+        now = self.now()
+        until = math.floor(now / self.granularity_ms + 1e-6)
+        self.lag_ms = max(0.0, now - (self._tick + 1) * self.granularity_ms)
+        try:
+            while self._tick < until:
+                self._tick += 1
+                self._fire(self._tick)
+            self.each_tick()
+        finally:
+            # A tick that fails must not be the last one: every deadline hangs on the wheel.
+            self._arm()
+
+    def _fire(self, tick: int) -> None:
+        slot = self._slots[tick % SLOTS]
+        if not slot:
+            return
+        self._slots[tick % SLOTS] = [timer for timer in slot if timer.tick > tick and timer.call]
+        for timer in slot:
+            if timer.tick <= tick and timer.call is not None:
+                call, timer.call = timer.call, None
+                call()
--- a/olivestair/api.py
+++ b/olivestair/api.py
@@ -73,6 +73,7 @@
     late_worth: float = 0.0
     stream: bool = False
     in_turn: bool = False  # its requests with one key run one at a time, in the order taken
+    name: str = ""
 
     def __post_init__(self) -> None:
         _positive("aim_ms", self.aim_ms)
@@ -87,6 +88,7 @@
     """A tenant's quota counts over all balancers together; 0 means that none was stated."""
 
     quota_per_s: float = 0.0
+    name: str = ""
 
     def __post_init__(self) -> None:
         _not_negative("quota_per_s", self.quota_per_s)
@@ -116,6 +118,12 @@
     idle_close_ms: float = 15_000.0  # unused so long, a connection is closed
     hang_up_within_ms: float = 0.0  # idle connections to a draining server are closed by then; 0: no matter
     settle_ms: float = 0.0  # how long a key of in-turn requests rests after an attempt that may still run
+    # For whoever carries the decisions out; the decisions themselves do not read these.
+    zones: tuple[str, ...] = ()
+    machine_types: tuple[str, ...] = ()
+    connect_timeout_ms: float = 1000.0  # a connection not made by then has failed
+    legs_per_connection: int = 1  # attempts that one connection carries together
+    max_open: int = 0  # requests held at once; 0: no bound
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -136,6 +144,7 @@
         _not_negative("resend_share", self.resend_share)
         _not_negative("settle_ms", self.settle_ms)
         _positive("idle_close_ms", self.idle_close_ms)
+        _positive("connect_timeout_ms", self.connect_timeout_ms)
         _not_negative("hang_up_within_ms", self.hang_up_within_ms)
 
 
--- a/olivestair/simhost.py
+++ b/olivestair/simhost.py
@@ -4,12 +4,14 @@
 """
 
 import gc
-import json
 import sys
 from typing import Any
 
+import msgspec
+
 from olivestair import api
 from olivestair.decide import Balancer
+from olivestair.settings import read_settings
 
 STATUS = {
     "Ok": api.Status.OK,
@@ -22,61 +24,12 @@
     "Canceled": api.Status.CANCELLED,
     "Ignored": api.Status.MOOT,
 }
-EFFECT = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 
 
 class WireError(Exception):
     """The simulator sent what the wire's page does not allow."""
 
 
-def read_class(raw: dict[str, Any]) -> api.RequestClass:
-    effect = EFFECT.get(raw.get("effect", "retryable"))
-    if effect is None:
-        raise WireError(f"classes.effect: unknown value {raw['effect']!r}")
-    return api.RequestClass(
-        aim_ms=raw["objective"],
-        deadline_ms=raw["deadline"],
-        effect=effect,
-        group=api.Group(raw.get("group") or "all"),
-        window_ms=raw.get("window", 0.0),
-        worth=raw.get("importance", 1.0),
-        late_worth=raw.get("late-value", 0.0),
-        stream=bool(raw.get("stream")),
-        in_turn=bool(raw.get("in-turn")),
-    )
-
-
-def read_settings(raw: dict[str, Any]) -> api.Settings:
-    """Translates the start-up settings; unknown ones are skipped, absent ones get the interface's default."""
-    limits = raw.get("limits") or {}
-    rules = raw.get("guarantees") or {}
-    specifics = raw.get("specifics") or {}
-    aside = specifics.get("mode") == "aside"
-    return api.Settings(
-        classes=tuple(read_class(item) for item in raw["classes"]),
-        tenants=tuple(api.Tenant(item.get("quota-per-s", 0.0)) for item in raw.get("tenants") or ()),
-        peers_total=raw.get("peers-total", 1),
-        origin_kind=specifics.get("origin-kind", -1) if aside else -1,
-        sizes_fixed=raw.get("weights") == "nominal",
-        list_pushed=raw.get("membership-mode") == "pushed",
-        over_share_worth=raw.get("over-share-worth", 1.0),
-        max_attempts=limits.get("send-cap", 3),
-        may_cancel=bool(limits.get("cancel")),
-        may_probe=bool(limits.get("probing")),
-        max_retry_after_ms=limits.get("max-retry-after", 0.0) if limits.get("retry-after") else 0.0,
-        granularity_ms=raw.get("granularity", 1.0),
-        start_capacity=rules.get("start-capacity") or 1.0,
-        warm_up_ms=rules.get("cold", 0.0),
-        ask_within_ms=rules.get("ask-within") or 10_000.0,
-        resend_window_ms=rules.get("look-back") or 0.0,
-        free_resends=rules.get("free-resends") or 0.0,
-        resend_share=rules.get("repeat-ratio") or 0.0,
-        idle_close_ms=limits.get("idle-close") or 15_000.0,
-        hang_up_within_ms=rules.get("hang-up-within") or 0.0,
-        settle_ms=rules.get("settle-after-doubt") or 0.0,
-    )
-
-
 def read_entry(raw: dict[str, Any]) -> api.ServerEntry:
     return api.ServerEntry(
         server=raw["host"],
@@ -147,14 +100,14 @@
         self.slots: dict[int, tuple[api.ServerEntry, ...]] = {}
 
     def reply(self, line: str) -> str:
-        batch = json.loads(line)
+        batch = msgspec.json.decode(line)
         now_ms = batch["wall"]
         parts = []
         for part in batch["parts"]:
             output = self.run(now_ms, part["balancer"], part.get("inbox") or ())
             if output:
                 parts.append({"balancer": part["balancer"], "output": output})
-        return json.dumps({"parts": parts}, separators=(",", ":"))
+        return msgspec.json.encode({"parts": parts}).decode()
 
     def run(self, now_ms: float, name: str, inbox: list[dict[str, Any]]) -> list[dict[str, Any]]:
         output: list[dict[str, Any]] = []
@@ -205,7 +158,7 @@
         except KeyError as error:
             print(f"simhost: malformed input: field {error} is missing", file=sys.stderr)
             return 1
-        except (WireError, ValueError, TypeError, AttributeError) as error:
+        except (WireError, msgspec.MsgspecError, ValueError, TypeError, AttributeError) as error:
             print(f"simhost: malformed input: {error}".replace("\n", " "), file=sys.stderr)
             return 1
         sys.stdout.write(answer + "\n")
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from olivestair.simhost import Host, read_settings
+from olivestair.settings import read_settings
+from olivestair.simhost import Host
 
 OPTIONS = {
     "classes": [{"objective": 500.0, "deadline": 2000.0, "effect": "retryable", "importance": 1.0}],
