--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -56,7 +56,7 @@
             return
         authorisation.close()
         self._facade.report(authorisation, f.Gone())
-        if not authorisation.write:  # writes are let finish: half a payment helps nobody
+        if not authorisation.write:  # writes are let finish
             for attempt in list(authorisation.legs.values()):
                 attempt.pool.give_up(attempt, Outcome.CALLED_OFF)
         self._forget(authorisation)
--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -237,7 +237,7 @@
         return Acquirer(self)
 
     def crowded(self) -> bool:
-        """Near the limit new work is declined: an accept that fails for want of descriptors loses requests."""
+        """Near the limit new work is declined: an accept that fails loses requests."""
         return len(self.connections) > self._budget
 
     def drain(self) -> None:
--- a/cloverwell/net/lines.py
+++ b/cloverwell/net/lines.py
@@ -50,7 +50,7 @@
             before = len(self._in)
             self.parse()
             if rest and len(self._in) == before:
-                # Held with a full ring: the transport has been told to pause, one read of it is all that is left.
+                # Held with a full ring: the transport has been told to pause, one read is all that is left.
                 if not self._held:
                     return self.framingLost("message too long")
                 self._in.bound += len(rest)
