End on time beside stuck clients, keep the watch over a kept connection, bound accepts

Found by reading and shown by scenarios: a half command or a client that never reads kept the program from ending after SIGTERM (service._finish); a kept discovery connection that closes as the next call leaves was a failed call (routing_table); accepts had no bound above the clients' budget (acquirer).

--- a/cloverwell/__main__.py
+++ b/cloverwell/__main__.py
@@ -1,6 +1,7 @@
 """One proxy: `python -m cloverwell`, told what it needs by the environment and its configuration file."""
 
 import gc
+import resource
 import signal
 import sys
 import time
@@ -15,12 +16,22 @@
 from cloverwell.wheel import monotonic_ms
 
 
+def raise_descriptors(wanted: int) -> int:
+    """Raises the process's own limit as far as it is wanted and allowed; tells what it is then."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < wanted:
+        soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    return soft
+
+
 def main() -> int:
     try:
         config: Config = read_config()
     except ConfigError as error:
         print(f"cloverwell: {error}".replace("\n", " "), file=sys.stderr)
         return 2
+    config.limits.sockets = min(config.limits.sockets, raise_descriptors(config.limits.sockets))
     log = Log(monotonic_ms)
     globalLogBeginner.beginLoggingTo([log.fault], redirectStandardIO=False)
     # Unix time is compared with the monotonic clock once; a step of it later changes nothing.
--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -207,9 +207,9 @@
     def between_requests(self) -> bool:
         return not self._turns and not len(self._in) and not self._wanted
 
-    def close_after(self) -> None:
-        """Closes between requests: now, or once what was taken is answered."""
-        if self.between_requests:
+    def close_after(self, cut: bool = False) -> None:
+        """Closes between requests: now, or once what was taken is answered; `cut`: a part of one is none."""
+        if self.between_requests or (cut and not self._turns):
             self.end()
         else:
             self._closing = True
@@ -237,21 +237,26 @@
         self.dispatcher = dispatcher
         self.classes = {cls.name: place for place, cls in enumerate(settings.classes)}
         self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
-        self.connections: set[Acquirer] = set()
+        self.connections: dict[Acquirer, None] = {}  # the oldest first
         self._budget = budget
 
     def buildProtocol(self, addr: IPv4Address) -> Acquirer:
         return Acquirer(self)
 
     def opened(self, connection: Acquirer) -> None:
-        self.connections.add(connection)
+        self.connections[connection] = None
+        if self.crowded():
+            # Between requests a connection may be closed; who comes now is more likely to have work.
+            idle = (held for held in self.connections if held is not connection and held.between_requests)
+            if (oldest := next(idle, None)) is not None:
+                oldest.end()
         if len(self.connections) >= self._most and not self._full and self.port is not None:
             self._full = True
             self._log.warn("accept", f"no more than {self._most} connections of clients fit")
             self.port.pauseProducing()
 
     def closed(self, connection: Acquirer) -> None:
-        self.connections.discard(connection)
+        self.connections.pop(connection, None)
         if self._full and len(self.connections) < self._most:
             self._full = False
             if self.port is not None:
@@ -261,6 +266,6 @@
         """Near the limit new work is declined: an accept that fails loses requests."""
         return len(self.connections) > self._budget
 
-    def drain(self) -> None:
+    def drain(self, cut: bool = False) -> None:
         for connection in list(self.connections):
-            connection.close_after()
+            connection.close_after(cut)
--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -116,8 +116,10 @@
             attempt.end(Outcome.NOT_CONNECTED)
             return
         while self.idle:
-            if self.idle.pop().send(attempt):
+            connection = self.idle.pop()
+            if connection.send(attempt):
                 return
+            connection.drop(Outcome.RESET)
         if self._pools.may_open(self):
             self._wait(attempt)
             if self.opening < len(self._waiting):
@@ -174,7 +176,9 @@
             attempt = self._waiting.popleft()
             if connection.send(attempt):
                 return
-            attempt.end(Outcome.NOT_CONNECTED)
+            connection.drop(Outcome.RESET)
+            self.start(attempt)
+            return
         if self.left:
             connection.drop(Outcome.RESET)
         else:
--- a/cloverwell/net/routing_table.py
+++ b/cloverwell/net/routing_table.py
@@ -143,6 +143,12 @@
         opener = _Opener(self, target)
         self._reactor.connectTCP(host, port, opener, timeout=self._settings.connect_timeout_ms / 1000.0)
 
+    def again(self, target: str) -> None:
+        """The call that is out is made on a new connection."""
+        self._connection = None
+        if self._call is not None:
+            self._open(target)
+
     def opened(self, connection: WatchConnection) -> None:
         self._connection = connection
 
@@ -202,18 +208,26 @@
         self._table = table
         self._target = target
         self._host = host
+        self._used = False  # it has carried an answer before the call that is out
+        self._heard = False  # a byte of the answer has come
 
     def connectionMade(self) -> None:
         super().connectionMade()
         self._table.opened(self)
         self.call(self._target)
 
+    def dataReceived(self, data: bytes) -> None:
+        self._heard = True
+        super().dataReceived(data)
+
     def call(self, target: str) -> None:
+        self._target, self._heard = target, False
         self.put(request("GET", target, self._host, {}))
 
     def answered(self, status: int, headers: dict[str, str], body: bytes) -> None:
         if headers.get("connection", "").lower() == "close":
             self.end()
+        self._used = True
         self._table.answered(status, body)
 
     def framingLost(self, reason: str) -> None:
@@ -223,7 +237,13 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         was_ended = self.ended
         super().connectionLost(reason)
-        if not was_ended:
+        if was_ended:
+            return
+        if self._used and not self._heard:
+            # Kept from the last call and closed as this one was on its way: a fresh connection will do, and
+            # the watch goes on. To fail the call would cost up to half a second of news.
+            self._table.again(self._target)
+        else:
             self._table.failed("connection lost")
 
 
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -17,6 +17,7 @@
 CLIENT_SHARE = 0.6  # of the other descriptors
 BACKLOG = 512
 ACCEPT_MS = 500.0  # after SIGTERM clients may not have heard yet: new connections are taken for so long
+LINGER_MS = 500.0  # what the last answers may take to leave
 CLOSE_MS = 750.0  # and what comes on open ones is answered for longer than they may still be used
 
 
@@ -50,6 +51,7 @@
         self.side = AcquirerSide(settings, self.dispatcher, log, clients, clients + SPARE_DESCRIPTORS // 2)
         self._port = None
         self._draining = False
+        self._linger_until_ms = 0.0
 
     def start(self) -> None:
         """Listens only when the list is known: who connects is served."""
@@ -66,6 +68,7 @@
         if self._draining:
             return
         self._draining = True
+        self._linger_until_ms = self.wheel.now() + CLOSE_MS + LINGER_MS
         self._log.info("stop", f"draining, {self.dispatcher.open_count} authorisations open")
         now = self.wheel.now()
         self.wheel.not_before(now + ACCEPT_MS, self._stop_listening)
@@ -79,8 +82,11 @@
 
     def _finish(self) -> None:
         """Closes clients' connections between requests, until none is left."""
-        self.side.drain()
-        if self.side.connections or self.dispatcher.open_count:
+        self.side.drain(cut=True)
+        if self.dispatcher.open_count:
+            self._linger_until_ms = self.wheel.now() + LINGER_MS
+        # A client that does not read its answer must not keep the program from its end.
+        if (self.side.connections and self.wheel.now() < self._linger_until_ms) or self.dispatcher.open_count:
             self.wheel.at(self.wheel.now() + self.wheel.granularity_ms, self._finish)
             return
         self._log.info("stop", "all is answered")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 import pytest
-from scenario import Player
+from scenario import Player, Transport
 
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 
@@ -46,13 +46,19 @@
     # Guards against EMFILE: an accept that fails loses requests that the machine has taken.
     player = Player(sockets=64)
     budget = player.service.side._budget
-    for place in range(budget + 1):
-        player.connection("client", place)
-    player.play(f"client#{budget + 1} send mg k v O1 Pc=page,t=acme,d=900")
+    for place in range(1, budget + 1):
+        player.play(f"client#{place} send ms k 1 O{place} Pc=order,t=acme,d=1900|a")
+    player.play(f"client#{budget + 1} send mg k v Ox Pc=page,t=acme,d=900")
     player.play(f"client#{budget + 1} expect SERVER_ERROR busy 1000")
-    player.play(
-        f"client#{budget + 1} close\nclient send mg k v O2 Pc=page,t=acme,d=900\ns1 expect mg k v O2 *"
-    )
+    # What is taken is kept; a connection between requests makes room for the next one.
+    player.play(f"client#{budget + 2} send mn\nclient#{budget + 1} expect end\nclient expect nothing")
+    # At the last descriptors no more connections are taken, until one closes.
+    port = player.service.side.port = Transport()
+    for place in range(budget + 2, player.service.side._most + 2):
+        player.play(f"client#{place} send ms k 9 Ow{place} Pc=order,t=acme,d=1900|a")
+    assert port.producerState == "paused"
+    player.play("client#1 close\nclient#2 close\nclient#3 close")
+    assert port.producerState == "producing"
 
 
 @pytest.mark.parametrize("wait_ms", range(300, 306))
