Stop the watch at a planned end, so that it is not logged as a failed call

Seen with the example: SIGTERM, answers on new and old connections for 0.5 s, the end after 0.75 s, and then a 'discovery: call failed' line. make run now execs, so that signals reach the program.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	.venv-dev/bin/ruff format .
 
 run: build
-	EDGE_CONFIG=$(CONFIG) .venv/bin/python -m cloverwell
+	EDGE_CONFIG=$(CONFIG) exec .venv/bin/python -m cloverwell
 
 toy: build
 	.venv/bin/python examples/toy_server.py
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -89,5 +89,6 @@
         if (self.side.connections and self.wheel.now() < self._linger_until_ms) or self.dispatcher.open_count:
             self.wheel.at(self.wheel.now() + self.wheel.granularity_ms, self._finish)
             return
+        self.table.stop()
         self._log.info("stop", "all is answered")
         self._reactor.stop()
