Keep the facade to three calls: it tallies an authorisation's legs by itself

Seen by reading: the dispatcher had to call a fourth, 'forget'. Every scenario now also checks that nothing is kept of an authorisation once its time is over.

--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -24,7 +24,6 @@
         self._open: dict[str, Authorisation] = {}
         self._settling = False
         self.watch: Callable[[], None] = lambda: None  # the routing table's
-        self.idle: Callable[[], None] = lambda: None  # told when the last authorisation has ended
         wheel.each_tick = self.settle
 
     @property
@@ -150,7 +149,4 @@
     def _forget(self, authorisation: Authorisation) -> None:
         if not authorisation.over or authorisation.legs:
             return
-        if self._open.pop(authorisation.id, None) is not None:
-            self._facade.forget(authorisation.id)
-            if not self._open:
-                self.idle()
+        self._open.pop(authorisation.id, None)
--- a/cloverwell/facade.py
+++ b/cloverwell/facade.py
@@ -124,6 +124,14 @@
 WAIT = Wait()
 
 
+@dataclass(slots=True)
+class Tally:
+    """An authorisation's legs: chosen so far, which numbers them, and out now."""
+
+    chosen: int = 0
+    out: int = 0
+
+
 class Facade:
     def __init__(self, settings: api.Settings, seed: int, now: Callable[[], float]) -> None:
         self.settings = settings
@@ -131,7 +139,7 @@
         self._now = now
         self._timers: list[tuple[float, int]] = []
         self._pending: deque[Choice] = deque()
-        self._legs: dict[str, int] = {}  # legs chosen so far, of the authorisations that are open
+        self._legs: dict[str, Tally] = {}  # of the authorisations that had a leg and are not over
 
     def pick(self, authorisation: Subject) -> Choice:
         """The first choice for a new authorisation."""
@@ -154,9 +162,13 @@
             case Outcome():
                 name = subject.authorisation
                 ended = over or outcome is Outcome.SERVED
+                self._legs[name].out -= 1
+                if ended:
+                    self._forget(name)
                 event = api.Outcome(name, subject.box, subject.number, outcome.value, 0.0, ended)
                 return self._hand_over(now, event, name)
             case Gone():
+                self._forget(subject.id)
                 return self._hand_over(now, api.ClientGone(subject.id), subject.id)
             case News():
                 kind = ListKind.FULL if outcome.complete else ListKind.DELTA
@@ -173,9 +185,10 @@
         due, self._pending = list(self._pending), deque()
         return due
 
-    def forget(self, authorisation: str) -> None:
-        """An authorisation is over and none of its legs is out."""
-        self._legs.pop(authorisation, None)
+    def _forget(self, authorisation: str) -> None:
+        """The authorisation is over: its tally goes with its last leg."""
+        if (tally := self._legs.get(authorisation)) is not None and not tally.out:
+            del self._legs[authorisation]
 
     def _hand_over(self, now: float, event: api.Event, mine: str | None) -> Choice:
         choice: Choice = WAIT
@@ -194,12 +207,15 @@
     def _read(self, action: api.Action) -> Choice:
         match action:
             case api.Send(name, box, timeout_ms):
-                number = self._legs.get(name, 0)
-                self._legs[name] = number + 1
-                return Leg(name, box, number, timeout_ms)
+                tally = self._legs.setdefault(name, Tally())
+                tally.chosen += 1
+                tally.out += 1
+                return Leg(name, box, tally.chosen - 1, timeout_ms)
             case api.Refuse(name, retry_after_ms):
+                self._forget(name)
                 return Decline(name, retry_after_ms)
             case api.Fail(name):
+                self._forget(name)
                 return Fail(name)
             case api.Cancel(name, number):
                 return CallOff(name, number)
--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -247,7 +247,8 @@
         self.connections[connection] = None
         if self.crowded():
             # Between requests a connection may be closed; who comes now is more likely to have work.
-            idle = (held for held in self.connections if held is not connection and held.between_requests)
+            others = (held for held in self.connections if held is not connection and not held.ended)
+            idle = (held for held in others if held.between_requests)
             if (oldest := next(idle, None)) is not None:
                 oldest.end()
         if len(self.connections) >= self._most and not self._full and self.port is not None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -167,3 +167,11 @@
     )
     assert run.returncode == 2 and run.stdout == ""
     assert len(run.stderr.splitlines()) == 1 and field in run.stderr and "Traceback" not in run.stderr
+
+
+def test_log_whose_reader_went_away_does_not_end_the_proxy():
+    class Broken(io.StringIO):
+        def write(self, text):
+            raise BrokenPipeError
+
+    Log(lambda: 0.0, Broken()).warn("answer", "malformed")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,7 +10,12 @@
 
 @pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
 def test_scenario(path):
-    Player().play(path.read_text())
+    player = Player()
+    player.play(path.read_text())
+    # Whatever happened, nothing is kept of an authorisation once its time is over.
+    player.play("wait 2100")
+    dispatcher = player.service.dispatcher
+    assert dispatcher.open_count == 0 and not dispatcher._facade._legs
 
 
 def test_line_and_value_too_long_get_one_error():
