Never close a client's connection that may hold an unread request

Fault: AcquirerSide.opened closed idle connections to make room, and the close took effect in the reactor's next turn, with requests already in the machine's buffer. A planned restart closed in the same way. Now nothing is closed to make room (new work is declined), and at a planned end a connection is closed at once, only if nothing stands unread.

--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 from collections import deque
 
 from twisted.internet.address import IPv4Address
@@ -45,7 +47,7 @@
         self._write: Turn | None = None  # its authorisation waits for the value
         self._skip = 0  # bytes to pass over, of a value that is not wanted
         self._error = b""  # answers the command whose value is passed over
-        self._closing = False  # ends between requests, once all that was taken is answered
+        self._fresh = False  # an answer may still be on its way to the machine's socket
         self._lost = False  # framing is lost: nothing more is read, the answers that are owed leave
 
     def connectionMade(self) -> None:
@@ -191,7 +193,8 @@
             if not self.put(self._turns[0].data):
                 break
             self._turns.popleft()
-        if (self._lost and not self._turns) or (self._closing and self.between_requests):
+            self._fresh = True
+        if self._lost and not self._turns:
             self.end()
         elif len(self._turns) >= AHEAD:
             self.hold()
@@ -207,12 +210,25 @@
     def between_requests(self) -> bool:
         return not self._turns and not len(self._in) and not self._wanted
 
-    def close_after(self, cut: bool = False) -> None:
-        """Closes between requests: now, or once what was taken is answered; `cut`: a part of one is none."""
-        if self.between_requests or (cut and not self._turns):
-            self.end()
-        else:
-            self._closing = True
+    def let_go(self, cut: bool = False) -> None:
+        """Closes between requests, if this is such a moment; `cut`: a part of a request is none."""
+        fresh, self._fresh = self._fresh, False
+        if self.ended or fresh or self._turns or self.transport.dataBuffer:
+            return
+        if (not cut and not self.between_requests) or self._unread():
+            return
+        self.ended = True
+        # At once, not with the reactor's next turn: a request that comes before it would be lost. The client
+        # sees the end, closes, and sends what crossed it elsewhere.
+        with contextlib.suppress(OSError):
+            self.transport.getHandle().shutdown(socket.SHUT_WR)
+
+    def _unread(self) -> bool:
+        """A request may stand in the machine's buffer: that one is taken, and a close would lose it."""
+        try:
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         super().connectionLost(reason)
@@ -237,27 +253,21 @@
         self.dispatcher = dispatcher
         self.classes = {cls.name: place for place, cls in enumerate(settings.classes)}
         self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
-        self.connections: dict[Acquirer, None] = {}  # the oldest first
+        self.connections: set[Acquirer] = set()
         self._budget = budget
 
     def buildProtocol(self, addr: IPv4Address) -> Acquirer:
         return Acquirer(self)
 
     def opened(self, connection: Acquirer) -> None:
-        self.connections[connection] = None
-        if self.crowded():
-            # Between requests a connection may be closed; who comes now is more likely to have work.
-            others = (held for held in self.connections if held is not connection and not held.ended)
-            idle = (held for held in others if held.between_requests)
-            if (oldest := next(idle, None)) is not None:
-                oldest.end()
+        self.connections.add(connection)
         if len(self.connections) >= self._most and not self._full and self.port is not None:
             self._full = True
             self._log.warn("accept", f"no more than {self._most} connections of clients fit")
             self.port.pauseProducing()
 
     def closed(self, connection: Acquirer) -> None:
-        self.connections.pop(connection, None)
+        self.connections.discard(connection)
         if self._full and len(self.connections) < self._most:
             self._full = False
             if self.port is not None:
@@ -267,6 +277,6 @@
         """Near the limit new work is declined: an accept that fails loses requests."""
         return len(self.connections) > self._budget
 
-    def drain(self, cut: bool = False) -> None:
+    def let_go(self, cut: bool = False) -> None:
         for connection in list(self.connections):
-            connection.close_after(cut)
+            connection.let_go(cut)
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -52,6 +52,7 @@
         self._port = None
         self._draining = False
         self._linger_until_ms = 0.0
+        self._cut_ms = 0.0
 
     def start(self) -> None:
         """Listens only when the list is known: who connects is served."""
@@ -72,22 +73,24 @@
         self._log.info("stop", f"draining, {self.dispatcher.open_count} authorisations open")
         now = self.wheel.now()
         self.wheel.not_before(now + ACCEPT_MS, self._stop_listening)
-        self.wheel.not_before(now + CLOSE_MS, self._finish)
+        self._cut_ms = now + CLOSE_MS
 
     def _stop_listening(self) -> None:
         if self._port is not None:
             self._port.stopListening()
             self.side.port = None
-        self.side.drain()
+        self._finish()
 
     def _finish(self) -> None:
         """Closes clients' connections between requests, until none is left."""
-        self.side.drain(cut=True)
+        now = self.wheel.now()
+        self.side.let_go(cut=now >= self._cut_ms)
         if self.dispatcher.open_count:
-            self._linger_until_ms = self.wheel.now() + LINGER_MS
+            self._linger_until_ms = max(self._cut_ms, now) + LINGER_MS
         # A client that does not read its answer must not keep the program from its end.
-        if (self.side.connections and self.wheel.now() < self._linger_until_ms) or self.dispatcher.open_count:
-            self.wheel.at(self.wheel.now() + self.wheel.granularity_ms, self._finish)
+        lingering = self.side.connections and now < self._linger_until_ms
+        if lingering or self.dispatcher.open_count or now < self._cut_ms:
+            self.wheel.at(now + self.wheel.granularity_ms, self._finish)
             return
         self.table.stop()
         self._log.info("stop", "all is answered")
