Reread the file on SIGHUP and move the watch to its new discovery at once

Checked: no handler was installed (__main__.py), and read_config lets EDGE_DISCOVERY stand before the file, so that a reread would have kept the old address for good. Now Service.reload rereads the file, whose address wins then; RoutingTable.move ends the old watch and asks the new address for its whole list, since version numbers are each discovery's own; a late answer of the old one finds that it is not current. A bad file is one log line and changes nothing.

--- a/cloverwell/__main__.py
+++ b/cloverwell/__main__.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
@@ -25,6 +26,13 @@
     return soft
 
 
+def handle_signals(service: Service, call: Callable[..., object]) -> None:
+    """`call` hands a call over to the loop: a signal may come in the middle of anything."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: call(service.drain))
+    signal.signal(signal.SIGHUP, lambda *_: call(service.reload, lambda: read_config(again=True)))
+
+
 def main() -> int:
     try:
         config: Config = read_config()
@@ -36,13 +44,12 @@
     globalLogBeginner.beginLoggingTo([log.fault], redirectStandardIO=False)
     # Unix time is compared with the monotonic clock once; a step of it later changes nothing.
     service = Service(reactor, config, log, monotonic_ms, monotonic_ms() - time.time() * 1000.0)
+    handle_signals(service, reactor.callFromThread)
     try:
         service.start()
     except CannotListenError as error:
         print(f"cloverwell: listen: {error}".replace("\n", " "), file=sys.stderr)
         return 2
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: reactor.callFromThread(service.drain))
     # What stands now stands for ever: the collector need not walk it, and seldom walks the rest.
     gc.collect()
     gc.freeze()
--- a/cloverwell/config.py
+++ b/cloverwell/config.py
@@ -1,4 +1,4 @@
-"""What a proxy is told at its start: the configuration file, and the variables that override it."""
+"""What a proxy is told: the configuration file, and the variables that stand before it at the start."""
 
 import os
 from collections.abc import Mapping
@@ -43,7 +43,8 @@
     settings: Settings
 
 
-def read_config(environ: Mapping[str, str] = os.environ) -> Config:
+def read_config(environ: Mapping[str, str] = os.environ, again: bool = False) -> Config:
+    """`again`: the file has been replaced, and its address of discovery is newer than the variable's."""
     path = environ.get("EDGE_CONFIG", "")
     if not path:
         raise ConfigError("EDGE_CONFIG: is not set")
@@ -62,10 +63,11 @@
         settings = read_settings(raw.settings)
     except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
+    told = environ.get("EDGE_DISCOVERY") or raw.discovery
     return Config(
         name=environ.get("EDGE_NAME") or raw.name,
         listen=_address("listen", environ.get("EDGE_LISTEN") or raw.listen),
-        discovery=_address("discovery", environ.get("EDGE_DISCOVERY") or raw.discovery),
+        discovery=_address("discovery", raw.discovery if again and raw.discovery else told),
         seed=_seed(raw.seed),
         limits=raw.limits,
         known=_known(raw.known),
--- a/cloverwell/net/routing_table.py
+++ b/cloverwell/net/routing_table.py
@@ -79,8 +79,9 @@
         self._log = log
         self._discovery = discovery
         self._epoch_ms = epoch_ms
-        self._revision = 0
+        self._revision: int | None = None  # None: the whole list is to be asked for
         self._call: Call | None = None
+        self._opener: _Opener | None = None
         self._connection: WatchConnection | None = None
         self._stopped = False
 
@@ -130,9 +131,11 @@
         """The facade wants news: a call is begun unless one is out."""
         if self._call is not None or self._stopped:
             return
-        wait_ms = WAIT_SHARE * self._settings.ask_within_ms
+        wait_ms, target = 0.0, "/v1/servers"
+        if self._revision is not None:
+            wait_ms = WAIT_SHARE * self._settings.ask_within_ms
+            target += f"?after={self._revision}&wait_ms={int(wait_ms)}"
         self._call = Call(self, self._wheel.not_before(self._wheel.now() + wait_ms + ANSWER_MS, self._silent))
-        target = f"/v1/servers?after={self._revision}&wait_ms={int(wait_ms)}"
         if self._connection is not None and not self._connection.ended:
             self._connection.call(target)
         else:
@@ -140,9 +143,23 @@
 
     def _open(self, target: str) -> None:
         host, port = self._discovery
-        opener = _Opener(self, target)
+        opener = self._opener = _Opener(self, target)
         self._reactor.connectTCP(host, port, opener, timeout=self._settings.connect_timeout_ms / 1000.0)
 
+    def move(self, discovery: tuple[str, int]) -> None:
+        """Discovery is elsewhere: the watch goes on there, with its whole list, and the old one's ends."""
+        if discovery == self._discovery:
+            return
+        self._discovery = discovery
+        self._revision = None  # the numbers are each discovery's own
+        self._end_call()
+        self._hang_up()
+        self.watch()
+
+    def is_current(self, party: WatchConnection | _Opener) -> bool:
+        """What comes from a connection that was given up, or by one still on its way, is never taken."""
+        return party in (self._connection, self._opener)
+
     def again(self, target: str) -> None:
         """The call that is out is made on a new connection."""
         self._connection = None
@@ -150,7 +167,7 @@
             self._open(target)
 
     def opened(self, connection: WatchConnection) -> None:
-        self._connection = connection
+        self._connection, self._opener = connection, None
 
     def answered(self, status: int, body: bytes) -> None:
         if self._call is None:
@@ -172,9 +189,7 @@
         if self._call is None:
             return
         self._end_call()
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.end(abort=True)
+        self._hang_up()
         if not self._stopped:
             self._log.warn("discovery", f"call failed: {reason}")
             self.tell(NoNews())
@@ -182,6 +197,11 @@
     def _silent(self) -> None:
         self.failed("no answer in time")
 
+    def _hang_up(self) -> None:
+        connection, self._connection, self._opener = self._connection, None, None
+        if connection is not None:
+            connection.end(abort=True)
+
     def _end_call(self) -> None:
         call, self._call = self._call, None
         if call is not None:
@@ -228,16 +248,18 @@
         if headers.get("connection", "").lower() == "close":
             self.end()
         self._used = True
-        self._table.answered(status, body)
+        if self._table.is_current(self):
+            self._table.answered(status, body)
 
     def framingLost(self, reason: str) -> None:
         self.end(abort=True)
-        self._table.failed(f"malformed: {reason}")
+        if self._table.is_current(self):
+            self._table.failed(f"malformed: {reason}")
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         was_ended = self.ended
         super().connectionLost(reason)
-        if was_ended:
+        if was_ended or not self._table.is_current(self):
             return
         if self._used and not self._heard:
             # Kept from the last call and closed as this one was on its way: a fresh connection will do, and
@@ -254,8 +276,11 @@
         self._table = table
         self._target = target
 
-    def buildProtocol(self, addr: IAddress) -> WatchConnection:
+    def buildProtocol(self, addr: IAddress) -> WatchConnection | None:
+        if not self._table.is_current(self):
+            return None
         return WatchConnection(self._table, self._target, f"{addr.host}:{addr.port}")
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        self._table.failed(f"not connected: {reason.getErrorMessage()}")
+        if self._table.is_current(self):
+            self._table.failed(f"not connected: {reason.getErrorMessage()}")
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from cloverwell.config import Config
+from cloverwell.config import Config, ConfigError
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.facade import Facade
 from cloverwell.log import Log
@@ -64,6 +64,17 @@
         )
         self._log.info("start", f"{self._config.name or 'proxy'} serves on {host}:{port}")
 
+    def reload(self, read: Callable[[], Config]) -> None:
+        """The file has been replaced: discovery's address is taken from it, all else at the next start."""
+        try:
+            config = read()
+        except ConfigError as error:
+            self._log.warn("reload", f"all stays as it is: {error}".replace("\n", " "))
+            return
+        host, port = config.discovery
+        self._log.info("reload", f"discovery is at {host}:{port}")
+        self.table.move(config.discovery)
+
     def drain(self) -> None:
         """A planned end: all that was taken is answered, then the program ends."""
         if self._draining:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,22 +5,24 @@
     s1 expect nothing | s1 expect end              no bytes | the proxy has closed it
     s1 close                                       it breaks the connection, or refuses the one asked for
     proxy close                                    SIGTERM;  `proxy expect end`: the program has ended
+    proxy send discovery2                          SIGHUP, with its file replaced (`nonsense`: by a bad one)
     wait 250                                       milliseconds
 
-Parties: `client`, the boxes `s1`, `s2`..., `origin`, `discovery`; `client#2` is its second connection. A box
-takes a connection when it first expects something. `origin` and `discovery` send HTTP:
+Parties: `client`, the boxes `s1`, `s2`..., `origin`, `discovery` and `discovery2`; `client#2` is its second
+connection. A box takes a connection when it first expects something. `origin` and `discovery` send HTTP:
 `STATUS [Name: value;]... BODY`, and `++ TEXT` behind it are further bytes that come with it.
 """
 
 import fnmatch
 import io
 
+import msgspec
 from twisted.internet.address import IPv4Address
 from twisted.internet.error import ConnectionLost, ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
-from cloverwell.config import Config, Limits
+from cloverwell.config import Config, ConfigError, Limits
 from cloverwell.log import Log
 from cloverwell.net.routing_table import Listing, Member
 from cloverwell.service import Service
@@ -49,6 +51,7 @@
     },
     "specifics": {"mode": "aside", "origin-kind": 1},
 }
+HTTP = ("origin", "discovery", "discovery2")
 EPOCH_MS = -1.0e9  # the fake clock shows 0 then
 
 
@@ -84,11 +87,11 @@
         self.reactor = MemoryReactorClock()
         self.reactor.advance(100.0)
         self.log = io.StringIO()
-        self.ports = {"discovery": 100, "origin": 200}
+        self.ports = {"discovery": 100, "discovery2": 101, "origin": 200}
         self.ports |= {f"s{number}": 200 + number for number in range(1, boxes + 1)}
         members = [Member(name, f"127.0.0.9:{port}") for name, port in self.ports.items() if name[0] == "s"]
         members.append(Member("origin", "127.0.0.9:200", flavor="origin"))
-        config = Config(
+        config = self.config = Config(
             "p",
             ("127.0.0.1", 11211),
             ("127.0.0.9", 100),
@@ -121,11 +124,19 @@
             for _ in range(int(verb)):
                 self.reactor.advance(0.001)
         elif party == "proxy":
-            self.service.drain() if verb == "close" else self.check(self.reactor.hasStopped, "still runs")
+            if verb == "send":
+                self.service.reload(lambda: self.reread(text))
+            else:
+                self.service.drain() if verb == "close" else self.check(self.reactor.hasStopped, "still runs")
         else:
             name, _, place = party.partition("#")
             getattr(self, verb)(name, int(place or 1) - 1, text)
 
+    def reread(self, text):
+        if text not in self.ports:
+            raise ConfigError("EDGE_CONFIG: malformed")
+        return msgspec.structs.replace(self.config, discovery=("127.0.0.9", self.ports[text]))
+
     @staticmethod
     def check(truth, reason):
         assert truth, reason
@@ -157,7 +168,7 @@
         protocol, _ = self.connection(name, place)
         text, _, more = text.partition(" ++ ")
         data = text.replace("|", "\r\n") + "\r\n"
-        if name in ("origin", "discovery"):
+        if name in HTTP:
             *headers, body = text.split(" ", 1)[1].split("; ")
             lines = [f"HTTP/1.1 {text.split()[0]} -", *headers, f"Content-Length: {len(body)}", "", body]
             data = "\r\n".join(lines)
@@ -174,9 +185,7 @@
             return self.check(not written, repr(written))
         wanted = text.replace("|", "\r\n")
         # As many lines as are expected; of HTTP the whole, which is one message at a time.
-        size = (
-            len(written) if name in ("origin", "discovery") else self.lines(written, wanted.count("\r\n") + 1)
-        )
+        size = len(written) if name in HTTP else self.lines(written, wanted.count("\r\n") + 1)
         transport.clear()
         transport.write(written[size:].encode())
         return self.check(fnmatch.fnmatchcase(written[:size].strip(), wanted.strip()), repr(written))
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import signal
 import subprocess
 import sys
 from types import SimpleNamespace
@@ -11,6 +12,8 @@
 from twisted.internet.task import Clock
 
 from cloverwell import facade as f
+from cloverwell.__main__ import handle_signals
+from cloverwell.config import ConfigError, read_config
 from cloverwell.log import PER_SECOND, Log
 from cloverwell.net.ring_buffer import SMALLEST, RingBuffer
 from cloverwell.wheel import Wheel
@@ -175,3 +178,29 @@
             raise BrokenPipeError
 
     Log(lambda: 0.0, Broken()).warn("answer", "malformed")
+
+
+def test_a_file_that_has_been_replaced_gives_discovery_and_a_bad_one_is_named(tmp_path):
+    # The platform's variable still holds the first address: read again, it hid the new one for ever.
+    path = tmp_path / "config.json"
+    environ = {"EDGE_CONFIG": str(path), "EDGE_DISCOVERY": "127.0.0.9:100", "EDGE_LISTEN": "127.0.0.1:1"}
+    path.write_text(json.dumps({"discovery": "127.0.0.9:101", "settings": SETTINGS}))
+    assert read_config(environ).discovery == ("127.0.0.9", 100)
+    assert read_config(environ, again=True).discovery == ("127.0.0.9", 101)
+    path.write_text('{"discovery": "nowhere", "settings": {}}')
+    with pytest.raises(ConfigError, match="settings: "):
+        read_config(environ, again=True)
+
+
+def test_each_signal_is_handed_to_the_loop_and_none_ends_the_program():
+    # SIGHUP had no handler: the first reload ended the proxy with 129.
+    calls, service = [], SimpleNamespace(drain="drain", reload="reload")
+    kept = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)}
+    try:
+        handle_signals(service, lambda call, *_: calls.append(call))
+        for number in kept:
+            signal.raise_signal(number)
+    finally:
+        for number, handler in kept.items():
+            signal.signal(number, handler)
+    assert calls == ["drain", "drain", "reload"]
