Let silent, half and abusive clients go in time, and make room from the oldest idle

Checked and ruled out: CPU (0.39 of 0.85 at most) and memory (34 of 80 MB). At fault: nothing closed a client's connection but its client (AcquirerSide); crowded() counted idle ones and declined all; Acquirer._lose closed with bytes unread, which is a reset that may hide the error.

--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -5,20 +5,24 @@
 import contextlib
 import socket
 from collections import deque
+from typing import TYPE_CHECKING
 
-from twisted.internet.address import IPv4Address
-from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Factory, connectionDone
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
 from cloverwell.authorisation import Answer, Authorisation, Declined, Served
-from cloverwell.dispatcher import Dispatcher
-from cloverwell.log import Log
 from cloverwell.net.lines import MAX_VALUE, RingLineReceiver
-from olivestair.api import Settings
+
+if TYPE_CHECKING:
+    from cloverwell.net.acquirer_side import AcquirerSide
 
 AHEAD = 64  # commands of one connection in hand at once: a client that pipelines more is not read for a while
 MAX_KEY, MAX_ID, MAX_WAIT_MS = 250, 64, 3_600_000
+MAX_PASSED = 1024 * 1024  # a longer value is not passed over: its client is told, and the connection closed
+FREE_ERRORS, MAX_ERRORS = 8, 24  # malformed commands in a row that cost no pause, and that close a connection
+ERROR_PAUSE_MS = 50.0  # what each of the others costs: the connection is not read for so long
+PASS_PAUSE_MS = 5.0  # nor behind each piece of what is thrown away once framing is lost
+FRESH_MS = 10.0  # an answer is at the machine's socket by then: two turns of the loop
 BUSY_MS = 1000  # how long a client should keep away from a proxy that is short of descriptors
 FAILED = b"SERVER_ERROR failed\r\n"
 
@@ -46,14 +50,41 @@
         self._turns: deque[Turn] = deque()
         self._write: Turn | None = None  # its authorisation waits for the value
         self._skip = 0  # bytes to pass over, of a value that is not wanted
-        self._error = b""  # answers the command whose value is passed over
-        self._fresh = False  # an answer may still be on its way to the machine's socket
-        self._lost = False  # framing is lost: nothing more is read, the answers that are owed leave
+        self._error = ""  # what is wrong with the command whose value is passed over
+        self._answered_ms = 0.0  # when the last answer was handed to the transport
+        self._errors = 0  # malformed commands in a row
+        self._paused = False  # for a while, behind an error
+        self.asked = False  # it has sent a command that could be read
+        self._begun = False  # a command has begun and is not whole
 
     def connectionMade(self) -> None:
         super().connectionMade()
         self._side.opened(self)
 
+    def dataReceived(self, data: bytes) -> None:
+        if self.ended or self._lost:
+            # Read on, so that the client reads its answer rather than a reset; but at no cost to the others.
+            self._pause(PASS_PAUSE_MS)
+            return
+        super().dataReceived(data)
+        begun, self._begun = self._begun, self.halfway
+        if self._begun and not begun:
+            self._side.quiet(self)  # its time runs from the first byte on: a byte now and then wins nothing
+
+    def _pause(self, wait_ms: float) -> None:
+        if not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+            wheel = self._side.wheel
+            wheel.not_before(wheel.now() + wait_ms, self._go_on)
+
+    def _go_on(self) -> None:
+        self._paused = False
+        if self.ended or self._lost:
+            self.transport.resumeProducing()
+        else:
+            self._flush()
+
     # Commands ----------------------------------------------------------------------------------
 
     def lineReceived(self, line: bytes) -> None:
@@ -62,6 +93,7 @@
         words = line.decode().split(" ")
         match words[0]:
             case "mn" if len(words) == 1:
+                self._errors, self.asked = 0, True
                 self._answer(Turn(), b"MN\r\n")
             case "mg":
                 self._read(words)
@@ -85,13 +117,15 @@
         if not length.isdigit() or len(length) > 9:
             return self._lose("ms needs a key and a length")
         number = int(length)
+        if number > MAX_PASSED:
+            return self._lose("value too large")
         try:
             if number > MAX_VALUE:
                 raise CommandError("value too large")
             self._write = self._authorise(words[1], words[3:], write=True)
         except CommandError as error:
             # The length is known: the value is passed over, and the connection stays in step.
-            self._error, self._skip = f"CLIENT_ERROR {error}\r\n".encode(), number + 2
+            self._error, self._skip = str(error), number + 2
             return self._pass_over()
         return self.expect_value(number + 2)
 
@@ -104,8 +138,8 @@
         if self._error:
             if self._skip:
                 return self._pass_over()
-            error, self._error = self._error, b""
-            return self._answer(Turn(), error)
+            error, self._error = self._error, ""
+            return self._reject(error)
         turn, self._write = self._write, None
         if not data.endswith(b"\r\n"):
             return self._lose("bad data chunk")
@@ -159,7 +193,9 @@
         return FAILED
 
     def _take(self, turn: Turn) -> None:
+        self._errors, self.asked = 0, True
         self._turns.append(turn)
+        self._side.busy(self)
         if len(self._turns) >= AHEAD:
             self.hold()
         if self._side.crowded():
@@ -168,13 +204,21 @@
             self._side.dispatcher.take(turn.authorisation)
 
     def _reject(self, reason: str) -> None:
-        self._answer(Turn(), f"CLIENT_ERROR {reason}\r\n".encode())
+        self._errors += 1
+        if self._errors >= MAX_ERRORS:
+            return self._lose(reason)
+        if self._errors > FREE_ERRORS:
+            # One that sends the like again as soon as it is turned away must not take the others' time.
+            self.hold()
+            self._pause(ERROR_PAUSE_MS)
+        return self._answer(Turn(), f"CLIENT_ERROR {reason}\r\n".encode())
 
     def _lose(self, reason: str) -> None:
         """Framing is lost: the answers that are owed still leave, and this one is the last."""
         self._lost = True
+        self._in.clear()
         self.hold()
-        self._reject(reason)
+        self._answer(Turn(), f"CLIENT_ERROR {reason}\r\n".encode())
 
     def framingLost(self, reason: str) -> None:
         self._lose(reason)
@@ -193,13 +237,16 @@
             if not self.put(self._turns[0].data):
                 break
             self._turns.popleft()
-            self._fresh = True
-        if self._lost and not self._turns:
-            self.end()
-        elif len(self._turns) >= AHEAD:
+            self._answered_ms = self._side.wheel.now()
+        if not self._turns:
+            self._side.quiet(self)
+            if self._lost:
+                return self._close_behind()
+        if len(self._turns) >= AHEAD:
             self.hold()
-        elif not self._lost:
+        elif not self._lost and not self._paused:
             self.release()
+        return None
 
     def roomMade(self) -> None:
         self._flush()
@@ -210,18 +257,42 @@
     def between_requests(self) -> bool:
         return not self._turns and not len(self._in) and not self._wanted
 
-    def let_go(self, cut: bool = False) -> None:
+    def _close_behind(self) -> None:
+        """Closes our side behind the last answer. To close both with bytes unread would be a reset, and the
+        client might never read that answer."""
+        if not self.ended:
+            self.end(only_ours=True)
+            self.transport.resumeProducing()
+            self._side.closing(self)
+
+    @property
+    def halfway(self) -> bool:
+        return not self._turns and not self.between_requests
+
+    def time_out(self) -> bool:
+        """It has had no open request for long enough: tells of half a command, and closes."""
+        if not self.halfway:
+            return self.let_go()
+        if self.ended or self._lost or self._unread():
+            return False
+        self._lose("half a command")
+        return True
+
+    def let_go(self, cut: bool = False) -> bool:
         """Closes between requests, if this is such a moment; `cut`: a part of a request is none."""
-        fresh, self._fresh = self._fresh, False
+        # What was written last may still be on its way to the machine's socket.
+        fresh = self._side.wheel.now() - self._answered_ms < FRESH_MS
         if self.ended or fresh or self._turns or self.transport.dataBuffer:
-            return
+            return False
         if (not cut and not self.between_requests) or self._unread():
-            return
+            return False
         self.ended = True
+        self._side.closing(self)
         # At once, not with the reactor's next turn: a request that comes before it would be lost. The client
         # sees the end, closes, and sends what crossed it elsewhere.
         with contextlib.suppress(OSError):
             self.transport.getHandle().shutdown(socket.SHUT_WR)
+        return True
 
     def _unread(self) -> bool:
         """A request may stand in the machine's buffer: that one is taken, and a close would lose it."""
@@ -237,46 +308,3 @@
         for turn in turns:
             if turn.authorisation is not None:
                 self._side.dispatcher.gone(turn.authorisation)
-
-
-class AcquirerSide(Factory):
-    """All clients' connections, within their part of the descriptors."""
-
-    noisy = False
-
-    def __init__(self, settings: Settings, dispatcher: Dispatcher, log: Log, budget: int, most: int) -> None:
-        """Work on more than `budget` connections is declined, and more than `most` are not taken."""
-        self.port: IPushProducer | None = None  # that listens
-        self._log = log
-        self._most = most
-        self._full = False
-        self.dispatcher = dispatcher
-        self.classes = {cls.name: place for place, cls in enumerate(settings.classes)}
-        self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
-        self.connections: set[Acquirer] = set()
-        self._budget = budget
-
-    def buildProtocol(self, addr: IPv4Address) -> Acquirer:
-        return Acquirer(self)
-
-    def opened(self, connection: Acquirer) -> None:
-        self.connections.add(connection)
-        if len(self.connections) >= self._most and not self._full and self.port is not None:
-            self._full = True
-            self._log.warn("accept", f"no more than {self._most} connections of clients fit")
-            self.port.pauseProducing()
-
-    def closed(self, connection: Acquirer) -> None:
-        self.connections.discard(connection)
-        if self._full and len(self.connections) < self._most:
-            self._full = False
-            if self.port is not None:
-                self.port.resumeProducing()
-
-    def crowded(self) -> bool:
-        """Near the limit new work is declined: an accept that fails loses requests."""
-        return len(self.connections) > self._budget
-
-    def let_go(self, cut: bool = False) -> None:
-        for connection in list(self.connections):
-            connection.let_go(cut)
--- a/cloverwell/net/lines.py
+++ b/cloverwell/net/lines.py
@@ -36,6 +36,7 @@
         self._held = False  # the subclass wants no more for now
         self._choked = False  # the transport takes no more for now
         self._parsing = False
+        self._lost = False  # framing is: what comes from now on is thrown away
         self.ended = False
 
     def connectionMade(self) -> None:
@@ -46,7 +47,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         rest = memoryview(data)
-        while rest and not self.ended:
+        while rest and not self.ended and not self._lost:
             rest = rest[self._in.write(rest) :]
             self._behind = len(rest)
             before = len(self._in)
@@ -69,7 +70,7 @@
             return
         self._parsing = True
         try:
-            while not self.ended and not self._held and self._parse_one():
+            while not (self.ended or self._held or self._lost) and self._parse_one():
                 pass
         except FramingError as error:
             self.framingLost(str(error))
@@ -141,7 +142,8 @@
     def roomMade(self) -> None:
         """The outgoing ring has room again."""
 
-    def end(self, abort: bool = False) -> None:
+    def end(self, abort: bool = False, only_ours: bool = False) -> None:
+        """Closes behind what is to leave; `only_ours`: the other side is still read, and closes by itself."""
         if self.ended:
             return
         self.ended = True
@@ -151,7 +153,10 @@
         if len(self._out):
             self.transport.write(self._out.read(len(self._out)))
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        if only_ours:
+            self.transport.loseWriteConnection()
+        else:
+            self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.ended = True
--- a/cloverwell/net/ring_buffer.py
+++ b/cloverwell/net/ring_buffer.py
@@ -1,6 +1,6 @@
 """A bounded ring of bytes: each connection has one a direction."""
 
-SMALLEST = 4096  # a ring starts with so much, so that a thousand idle connections cost little memory
+SMALLEST = 4096  # a ring starts with so much and goes back to it: idle connections cost little memory
 
 
 class RingBuffer:
@@ -8,7 +8,7 @@
 
     def __init__(self, bound: int) -> None:
         self.bound = bound
-        self._data = bytearray(min(SMALLEST, bound))
+        self._data = bytearray()  # none before the first byte: many connections say nothing
         self._head = 0  # where the oldest byte is
         self._size = 0
 
@@ -22,6 +22,8 @@
     def write(self, data: bytes | memoryview) -> int:
         """Takes as much of the data as there is room for, and tells how much that was."""
         taken = min(len(data), self.room)
+        if not taken:
+            return 0
         if self._size + taken > len(self._data):
             self._grow(self._size + taken)
         start = (self._head + self._size) % len(self._data)
@@ -32,7 +34,7 @@
         return taken
 
     def _grow(self, needed: int) -> None:
-        size = len(self._data)
+        size = len(self._data) or SMALLEST
         while size < needed:
             size *= 2
         kept = self.peek(self._size)
@@ -51,9 +53,17 @@
     def read(self, number: int) -> bytes:
         data = self.peek(number)
         self._size -= len(data)
-        self._head = (self._head + len(data)) % len(self._data) if self._size else 0
+        if self._size:
+            self._head = (self._head + len(data)) % len(self._data)
+        else:
+            self._head = 0
+            if len(self._data) > SMALLEST:  # one large value must not cost its memory for good
+                self._data = bytearray()
         return data
 
+    def clear(self) -> None:
+        self._data, self._head, self._size = bytearray(), 0, 0
+
     def find(self, mark: bytes) -> int:
         """How many bytes stand before the first such mark, or -1."""
         end = self._head + self._size
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -6,7 +6,7 @@
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.facade import Facade
 from cloverwell.log import Log
-from cloverwell.net.acquirer import AcquirerSide
+from cloverwell.net.acquirer_side import AcquirerSide
 from cloverwell.net.cache_leg import CacheConnection
 from cloverwell.net.origin_leg import OriginConnection
 from cloverwell.net.pool import BoxConnection, Pool, Pools
@@ -14,6 +14,7 @@
 from cloverwell.wheel import Wheel
 
 SPARE_DESCRIPTORS = 32  # standard streams, the reactor's own, discovery, and some to accept and decline with
+OVER_BUDGET = 12  # of the spare ones: clients' connections that are held and declined
 CLIENT_SHARE = 0.6  # of the other descriptors
 BACKLOG = 512
 ACCEPT_MS = 500.0  # after SIGTERM clients may not have heard yet: new connections are taken for so long
@@ -48,7 +49,8 @@
         self.table = RoutingTable(reactor, self.wheel, settings, self.pools, log, config.discovery, epoch_ms)
         self.table.tell = self.dispatcher.news
         self.dispatcher.watch = self.table.watch
-        self.side = AcquirerSide(settings, self.dispatcher, log, clients, clients + SPARE_DESCRIPTORS // 2)
+        most = clients + OVER_BUDGET
+        self.side = AcquirerSide(settings, self.dispatcher, self.wheel, log, clients, most)
         self._port = None
         self._draining = False
         self._linger_until_ms = 0.0
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -66,6 +66,9 @@
         self.aborted = True
         self.loseConnection()
 
+    def loseWriteConnection(self):
+        self.shut = True
+
     @property
     def ended(self):
         return self.disconnecting or self.aborted or self.shut
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -118,3 +118,47 @@
     transport.recv = lambda number, flags: unread
     player.play("client expect HD O1 cr1\nclient send ms k 1 O2 Pc=order,t=acme,d=900|a")
     player.play("origin expect end\norigin#2 expect PUT /k *\norigin#2 send 200 r2\nclient expect HD O2 cr2")
+
+
+def test_at_the_limit_the_connection_that_has_been_silent_longest_makes_room():
+    # Hundreds that connect and say nothing must not shut out those that ask; their descriptors come free at
+    # once, whether or not they ever close their side. One with an unread request is not closed.
+    player = Player(sockets=64)
+    port, most = Transport(), player.service.side._most
+    player.service.side.port = port
+    player.play("client#1 send mn\nclient#1 expect MN\nclient#2 expect nothing\nclient#3 expect nothing")
+    player.connection("client", 1)[1].unread = b"m"
+    player.play("wait 300")
+    for place in range(4, most + 1):
+        player.play(f"client#{place} expect nothing")
+    assert [place for place in range(most) if player.connection("client", place)[1].aborted] == [2]
+    # The others are too fresh, but the one that has asked is not.
+    player.play(f"client#{most + 1} expect nothing")
+    assert player.connection("client", 0)[1].aborted and port.producerState != "paused"
+
+
+def test_one_that_sends_the_same_nonsense_again_is_slowed_down_and_closed():
+    # At full speed such a client took the loop's time from the usual ones.
+    player = Player()
+    player.play(f"client send {'frob|' * 200}")
+    protocol, transport = player.connection("client", 0)
+    assert transport.value().count(b"CLIENT_ERROR") == 9 and transport.producerState == "paused"
+    player.play("wait 900")
+    assert transport.value().count(b"CLIENT_ERROR") == 24 and transport.shut
+    # What else it sends is thrown away, a piece a tick, and no further word is said.
+    protocol.dataReceived(b"frob\r\n" * 1000)
+    assert transport.producerState == "paused" and not len(protocol._in)
+    player.play("wait 10")
+    assert transport.producerState == "producing" and not transport.aborted
+    player.play("wait 1100")
+    assert transport.aborted and transport.value().count(b"CLIENT_ERROR") == 24
+
+
+def test_a_value_of_60_mb_is_refused_at_its_first_line():
+    # The error leaves at once and our side closes behind it; a close of both would be a reset that hides it.
+    player = Player()
+    player.play(
+        "client send ms k 60000000 O1 Pc=order,t=acme,d=900|aaaa\nclient expect CLIENT_ERROR value too*"
+    )
+    _, transport = player.connection("client", 0)
+    assert transport.shut and not transport.aborted and not transport.disconnecting
