--- a/cloverwell/net/http.py
+++ b/cloverwell/net/http.py
@@ -26,7 +26,7 @@
         self._status = 0
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
-        self._got = 0
+        self._got = self._lines = 0
         self._chunked = self._trailer = False
 
     def lineReceived(self, line: bytes) -> None:
@@ -39,7 +39,8 @@
             self._status_line(line)
         elif line:
             name, colon, value = line.decode("latin-1").partition(":")
-            if not colon or len(self._headers) >= MAX_HEADERS:
+            self._lines += 1  # not the names: one that repeats without end is one name
+            if not colon or self._lines > MAX_HEADERS:
                 raise FramingError("malformed header")
             name, value = name.strip().lower(), value.strip()
             if name == "content-length" and self._headers.get(name, value) != value:
