Pass on values of up to 1 MB from boxes and origin

At fault: MAX_VALUE bounded answers as it bounds commands (cache_leg.py, http.py), and the outgoing ring could not hold more. Now both take 1 MB, grow to it as needed and give it back; an answer that its client never reads is cut off after 10 s.

--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 
 from cloverwell.authorisation import Answer, Authorisation, Declined, Served
-from cloverwell.net.lines import MAX_VALUE, PEEK, RingLineReceiver
+from cloverwell.net.lines import MAX_LINE, MAX_WRITE, PEEK, RingLineReceiver
 
 if TYPE_CHECKING:
     from cloverwell.net.acquirer_side import AcquirerSide
@@ -43,6 +43,8 @@
 class Acquirer(RingLineReceiver):
     """One client's connection: commands become authorisations, answers leave in the order of the commands."""
 
+    in_bytes = MAX_WRITE + 2 * MAX_LINE
+
     def __init__(self, side: AcquirerSide) -> None:
         super().__init__()
         self._side = side
@@ -118,7 +120,7 @@
         if number > MAX_PASSED:
             return self._lose("value too large")
         try:
-            if number > MAX_VALUE:
+            if number > MAX_WRITE:
                 raise CommandError("value too large")
             self._write = self._authorise(words[1], words[3:], write=True)
         except CommandError as error:
@@ -128,7 +130,7 @@
         return self.expect_value(number + 2)
 
     def _pass_over(self) -> None:
-        piece = min(self._skip, MAX_VALUE)
+        piece = min(self._skip, MAX_WRITE)
         self._skip -= piece
         self.expect_value(piece)
 
@@ -266,6 +268,11 @@
     def halfway(self) -> bool:
         return not self._turns and not self.between_requests
 
+    @property
+    def unread(self) -> bool:
+        """Its client has not read all of its answers."""
+        return self._writing
+
     def time_out(self) -> bool:
         """It has had no open request for long enough: tells of half a command, and closes."""
         if not self.halfway:
--- a/cloverwell/net/acquirer_side.py
+++ b/cloverwell/net/acquirer_side.py
@@ -97,7 +97,10 @@
         for connection, since in list(self._quiet.items()):
             if now - since < QUIET_MS:
                 break
-            if scarce or not connection.asked or connection.halfway or now - since >= KEEP_MS:
+            kept = now - since >= KEEP_MS
+            if kept and connection.unread:  # no request has so much time: nobody waits for that answer
+                connection.end(abort=True)
+            elif kept or scarce or not connection.asked or connection.halfway:
                 connection.time_out()
         for connection, since in list(self._closing.items()):
             if now - since < LINGER_MS:
--- a/cloverwell/net/http.py
+++ b/cloverwell/net/http.py
@@ -1,6 +1,6 @@
 """The answers of HTTP/1.1, line by line: what the origin's legs and discovery's watch have in common."""
 
-from cloverwell.net.lines import FramingError, RingLineReceiver
+from cloverwell.net.lines import MAX_VALUE, FramingError, RingLineReceiver
 
 MAX_HEADERS = 64
 
@@ -16,7 +16,7 @@
 class HttpReceiver(RingLineReceiver):
     """Calls `answered` once for each whole answer; bodies have a length or come in chunks."""
 
-    max_body = 64 * 1024
+    max_body = MAX_VALUE
 
     def __init__(self) -> None:
         super().__init__()
@@ -70,7 +70,7 @@
     def _more(self) -> None:
         """A body may be larger than the ring: it comes in pieces."""
         if self._left:
-            piece = min(self._left, self.ring_bytes // 2)
+            piece = min(self._left, self.in_bytes // 2)
             self._left -= piece
             self.expect_value(piece)
         else:
--- a/cloverwell/net/lines.py
+++ b/cloverwell/net/lines.py
@@ -11,7 +11,8 @@
 from cloverwell.net.ring_buffer import RingBuffer
 
 MAX_LINE = 2048
-MAX_VALUE = 64 * 1024
+MAX_VALUE = 1024 * 1024  # of an answer: boxes hold values of 400 KB, whatever is written through us
+MAX_WRITE = 64 * 1024  # of a client's command
 PEEK = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 PIECE = 64 * 1024  # what the transport is given at once
 
@@ -31,11 +32,11 @@
 
     delimiter = b"\r\n"
     MAX_LENGTH = MAX_LINE
-    ring_bytes = MAX_VALUE + 2 * MAX_LINE
+    in_bytes = out_bytes = MAX_VALUE + 2 * MAX_LINE
 
     def __init__(self) -> None:
-        self._in = RingBuffer(self.ring_bytes)
-        self._out = RingBuffer(self.ring_bytes)
+        self._in = RingBuffer(self.in_bytes)
+        self._out = RingBuffer(self.out_bytes)
         self._wanted = 0  # bytes of the value that the last line announced, its line end included
         self._rest = 0  # bytes that were read and are not in the ring yet
         self.unparsed = 0  # bytes behind the message in hand
@@ -114,7 +115,7 @@
     def release(self) -> None:
         if self._held and not self.ended:
             self._held = False
-            self._in.bound = self.ring_bytes
+            self._in.bound = self.in_bytes
             self.transport.resumeProducing()
             self.parse()
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,6 +5,8 @@
 import pytest
 from scenario import Player, Transport
 
+from cloverwell.net.ring_buffer import SMALLEST
+
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 
 
@@ -162,3 +164,34 @@
     )
     _, transport = player.connection("client", 0)
     assert transport.shut and not transport.aborted and not transport.disconnecting
+
+
+@pytest.mark.parametrize("size", [65_537, 400_000])
+def test_a_large_value_is_passed_on_from_box_and_origin(size):
+    # Seen on leave days: boxes and origin answer with up to 400 KB. Over 64 KB it was taken for spoilt, the
+    # request failed, and the box was marked missed.
+    player, body = Player(), "x" * size
+    player.play("client send mg k v O1 Pc=page,t=acme,d=900\ns1 expect mg *")
+    protocol, _ = player.connection("s1", 0)
+    answer = f"VA {size} O1 h1\r\n{body}\r\n".encode()
+    for place in range(0, len(answer), 65536):
+        protocol.dataReceived(answer[place : place + 65536])
+    player.play(
+        f"client expect VA {size} O1|{body}\nclient send mg k v O2 Pc=page,t=acme,d=900\ns1 expect mg *"
+    )
+    player.play(
+        f"s1 send EN O2\norigin expect GET *\norigin send 200 {body}\nclient expect VA {size} O2|{body}"
+    )
+    # What was needed for it is given back.
+    assert len(protocol._in._data) <= SMALLEST
+
+
+def test_an_answer_that_is_not_read_is_kept_for_as_long_as_any_request_may_last():
+    player = Player()
+    player.play("client send mg k v O1 Pc=page,t=acme,d=900\ns1 expect mg *")
+    _, transport = player.connection("client", 0)
+    transport.send = lambda data: 3
+    player.play("s1 send VA 1 O1|a\nwait 9800")
+    assert not transport.ended
+    player.play("wait 300")
+    assert transport.aborted
