Give up an answer that stops short in 0.1 s, and turn the wheel each 5 ms at most

Ruled out: the machine (0.35 of 0.85 cores), descriptors, dead boxes (the same boxes answered others meanwhile). The settings gave a granularity of 1 ms, and the wheel turned 1,000 times a second. At fault: nothing looked at a connection in the middle of an answer (BoxConnection); Wheel took any tick. What gets no byte at all is next.

--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -23,6 +23,7 @@
 
 IDLE_SHARE = 0.5  # of the time after which the box closes an idle connection: ours are closed well before
 SWEEP_MS = 100.0
+STALL_MS, STALL_LOOKS = 25.0, 4  # an answer that has begun and does not go on for so many looks is given up
 MAX_WAITING = 256  # legs that wait for a connection to one box
 
 
@@ -74,6 +75,13 @@
             self._pool.freed(self)
         attempt.end(outcome, body)
 
+    def dataReceived(self, data: bytes) -> None:
+        super().dataReceived(data)
+        if self._wanted or len(self._in):
+            self._pool.begun[self] = 0
+        else:
+            self._pool.begun.pop(self, None)
+
     def framingLost(self, reason: str) -> None:
         self._pool.log.warn("answer", f"malformed answer of {self._pool.box}: {reason}")
         self.drop(Outcome.RESET)
@@ -121,6 +129,7 @@
         self.idle: list[BoxConnection] = []  # used last at the end
         self.opening = 0
         self.left = False  # off the routing table
+        self.begun = pools.begun
         self._waiting: deque[Attempt] = deque()
 
     def build(self) -> BoxConnection:
@@ -200,6 +209,7 @@
             self.idle.append(connection)
 
     def lost(self, connection: BoxConnection) -> None:
+        self.begun.pop(connection, None)
         if connection in self.connections:
             self.connections.remove(connection)
         if connection in self.idle:
@@ -255,7 +265,18 @@
         self.connect_timeout_ms = connect_timeout_ms
         self._idle_ms = IDLE_SHARE * idle_close_ms
         self._pools: dict[str, Pool] = {}
+        self.begun: dict[BoxConnection, int] = {}  # part of an answer is there: looks since more of it came
         self._sweep()
+        self._look_for_stalls()
+
+    def _look_for_stalls(self) -> None:
+        # Looks are counted, not time: a loop that was held up has not read what came meanwhile.
+        for connection, looks in list(self.begun.items()):
+            if looks >= STALL_LOOKS:
+                connection.framingLost("it stopped short")
+            else:
+                self.begun[connection] = looks + 1
+        self.wheel.not_before(self.wheel.now() + STALL_MS, self._look_for_stalls)
 
     def _sweep(self) -> None:
         before = self.wheel.now() - self._idle_ms
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -1,6 +1,7 @@
 """The parts of one proxy put together, and its end."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from cloverwell.config import Config, ConfigError
 from cloverwell.dispatcher import Dispatcher
@@ -13,6 +14,7 @@
 from cloverwell.net.routing_table import RoutingTable
 from cloverwell.wheel import Wheel
 
+TICK_MS = 5.0
 SPARE_DESCRIPTORS = 32  # standard streams, the reactor's own, discovery, and some to accept and decline with
 OVER_BUDGET = 12  # of the spare ones: clients' connections that are held and declined
 CLIENT_SHARE = 0.6  # of the other descriptors
@@ -28,7 +30,9 @@
 
 class Service:
     def __init__(self, reactor, config: Config, log: Log, now: Callable[[], float], epoch_ms: float) -> None:
-        settings = config.settings
+        # The wheel turns no faster than that; the decisions are told, and keep their distance from deadlines.
+        granularity_ms = max(TICK_MS, config.settings.granularity_ms)
+        settings = replace(config.settings, granularity_ms=granularity_ms)
         self._reactor = reactor
         self._config = config
         self._log = log
