Send reads again that are long overdue at a server which answers others

At fault in decide.py: such a leg waited to its deadline, since only whole servers were watched for silence (_look); _judge let one time-out of 1 s teach a mean of 45 ms, which read as a jam (_drop_early); and one reset marked its server and moved all its keys for half a second.

--- a/olivestair/api.py
+++ b/olivestair/api.py
@@ -106,6 +106,7 @@
     max_attempts: int = 3
     may_cancel: bool = True
     may_probe: bool = False
+    may_copy: bool = False  # a request may have two attempts out together
     max_retry_after_ms: float = 0.0
     granularity_ms: float = 1.0
     start_capacity: float = 1.0
--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -40,6 +40,11 @@
 EARLY_SLOPE = 2.0  # part dropped for each time more than that: all at half as much again
 SHARE_SLACK = 1.5  # times its even part of a tenant's quota: zones differ, and a balancer sees only its own
 SHARE_CLUMP = 4.0  # requests of a tenant that may come at once: an even part of a quota may be under one
+JAM_CAP = 3.0  # times the mean latency: what a time-out teaches at most, since a connection may be at fault
+LATE, LATE_MIN, LATE_MAX = 8.0, 3.0, 12.0  # mean latencies of its class after which a read is sent again
+LATE_STEP = 0.9  # factor on that where the second copy was answered first, its inverse where the first was
+LATE_SHARE, LATE_CLUMP = 0.05, 5.0  # of the reads that may be sent again so, and how many of them at once
+BREAKS = 2  # resets without an answer between them that mark: one may be its connection's alone
 EXCESS_ROOM = 0.25  # part of a bound that traffic beyond a tenant's share may fill
 LIST_PACE_MS = 20.0  # between the first calls of all balancers: the list is one service of fixed capacity
 IDLE_GROWTH = 1.01  # an answer, of the time that unused connections are trusted: halved when one broke
@@ -68,6 +73,8 @@
         self._idle_ms = settings.idle_close_ms  # connections unused for longer are not trusted
         self._full = self._crammed = 0.0  # running shares of attempts turned away, and refused a connection
         self._spans = [Span() for _ in settings.classes]
+        self._paces = [Pace(cls.aim_ms * CROWD_AIM) for cls in settings.classes]
+        self._late, self._late_room = LATE, LATE_CLUMP
         self._keys: deque[str] = deque(maxlen=HEAT_WINDOW)  # of the last reads
         self._taken: deque[float] = deque(maxlen=None if settings.resend_window_ms else 0)  # in the window
         self._resends = self._taken.copy()  # further attempts in it
@@ -241,7 +248,9 @@
         excess = self._beyond_share(now, event.tenant)
         aim = now + cls.aim_ms - self._spent(event) - self._margin_ms
         use = deadline if cls.late_worth or event.write else min(aim, deadline)
-        rec = Record(event.request, cls, event.key, place, event.write, use, deadline, excess or aim < now)
+        excess, pace = excess or aim < now, self._paces[event.request_class]
+        rec = Record(event.request, cls, event.key, place, event.write, use, deadline, excess, pace)
+        self._late_room = min(LATE_CLUMP, self._late_room + LATE_SHARE)
         self._records[rec.id] = rec
         if cls.in_turn and event.key is not None:
             rec.turn = self._turns.setdefault(event.key, Turn())
@@ -322,8 +331,8 @@
             server.heard_ms = now
             if server.used_ms + self._idle_ms < now < server.used_ms + self._set.idle_close_ms:
                 self._close(now, server)
-        server.out[rec.id] = (rec, now)
-        if not server.origin and not server.watched:
+        server.out[rec.id, rec.attempts - 1] = (rec, now)
+        if not server.watched:
             server.watched = True
             self._timers.at(now + QUIET_FACTOR * self._pace.mean_ms, self._look, server)
         self._acts.append(api.Send(rec.id, server.entry.server, max(timeout, self._set.granularity_ms)))
@@ -369,18 +378,20 @@
         if rec is None or event.attempt not in rec.out:
             return
         server, sent = rec.out.pop(event.attempt)
-        server.out.pop(rec.id, None)
+        server.out.pop((rec.id, event.attempt), None)
         if server.left:
             self._leave(now, server)
+        if rec.again and event.status in (Status.OK, Status.MISS):
+            self._settle_copies(rec, event.attempt)
         if event.status not in api.NEVER_RAN and (rec.ran_ms is None or sent < rec.ran_ms):
             rec.ran_ms, rec.ran_at = sent, server
         if rec.turn is not None and self._set.settle_ms and event.status in api.IN_DOUBT:
             rec.turn.rest_ms = now + self._set.settle_ms + MARGIN_MS
         rec.prepaid |= event.status is Status.MISS
-        stale = self._judge(now, server, event.status, sent, rec.write)
+        stale = self._judge(now, server, event.status, sent, rec)
         if event.closed or rec.done:
             self._end(now, rec)
-        elif not rec.out and (server.origin or (event.status is Status.MISS and self._origins)):
+        elif not rec.out and (server.origin or (rec.prepaid and self._origins)):
             self._ask_origin(now, rec)
         elif not rec.out:
             rec.tried += [server] * (not stale)  # a fresh connection will do
@@ -392,16 +403,18 @@
         server.used_ms = -math.inf
         self._acts.append(api.Close(server.entry.server))
 
-    def _judge(self, now: float, server: Server, status: Status, sent: float, write: bool) -> bool:
+    def _judge(self, now: float, server: Server, status: Status, sent: float, rec: Record) -> bool:
         """Health and load from outcomes; tells whether just a connection broke that had not been used."""
         took, unused = now - sent, sent - server.used_ms
         # It was dropped on the way, no server died. Harm: handshakes after a death within a few ms of a send.
         if status is Status.RESET and took < STALE * self._pace.mean_ms and took < unused < math.inf:
             self._idle_ms = min(self._idle_ms, unused) / 2
             return True
+        server.breaks += status is Status.RESET
         if status in api.ANSWERS:
             self._heard(now, server)
-            server.used_ms = now
+            server.used_ms, server.breaks = now, 0
+            server.overtaken_ms = max(server.overtaken_ms, sent)
             self._idle_ms = min(self._idle_ms * IDLE_GROWTH, self._set.idle_close_ms)
         # Where full tables refuse connections at once, one that idles is another balancer's want.
         at_once = status is Status.CONNECT_FAILED and took < self._pace.mean_ms
@@ -411,17 +424,22 @@
             self._close(now, server)
         # In an overload attempts time out at servers that answer others: that is no death.
         silent = not server.origin and status is Status.TIMEOUT and server.heard_ms <= sent
-        if not server.origin and (silent or status in (Status.RESET, Status.CONNECT_FAILED)):
+        breaks = 1 if self._set.may_probe else BREAKS
+        broken = status is Status.CONNECT_FAILED or (status is Status.RESET and server.breaks >= breaks)
+        if not server.origin and (silent or broken):
             self._mark(now, server, silent)
             if status is Status.RESET or at_once:  # an answer lost, a full table, or a death: a probe tells
                 self._probe(now, server)
         # A time-out or a full server would have taken longer.
         took = max(took, {Status.FULL: self._aim_ms, Status.TIMEOUT: server.pace.mean_ms}.get(status, 0.0))
-        if status in (Status.OK, Status.MISS, Status.FULL, Status.TIMEOUT) and not (write or silent):
+        if status is Status.TIMEOUT:  # of many in a row the mean rises all the same
+            took = min(took, JAM_CAP * self._pace.mean_ms)
+        if status in (Status.OK, Status.MISS, Status.FULL, Status.TIMEOUT) and not (rec.write or silent):
             self._learn(now, server.pace, took)
         if status in (Status.OK, Status.TIMEOUT) and not server.origin:  # in a jam few answers come
             self._learn(now, self._pace, took)
             self._learn(now, server.kin, took)
+            self._learn(now, rec.pace, took)
         if status in (Status.OK, Status.FULL, Status.TIMEOUT):
             self._bound(now, server, status is not Status.OK or server.pace.mean_ms > self._crowd_ms(server))
         return False
@@ -452,9 +470,9 @@
             self._acts.append(api.Log(f"{server.entry.server} marked missed"))
         if rescue and self._set.may_cancel:  # a silent server must not hold its keys until each times out
             # Nothing is called off that the budget could not send elsewhere; dear requests come first.
-            stuck = [rec for rec, _ in server.out.values() if not rec.begun and not rec.done]
-            paid = heapq.nlargest(int(min(len(stuck), self._spare(now))), stuck, lambda rec: rec.cls.worth)
-            self._acts += [api.Cancel(rec.id, rec.attempts - 1) for rec in paid]
+            stuck = [(rec, n) for (_, n), (rec, _) in server.out.items() if not rec.begun and not rec.done]
+            paid = heapq.nlargest(int(min(len(stuck), self._spare(now))), stuck, lambda one: one[0].cls.worth)
+            self._acts += [api.Cancel(rec.id, number) for rec, number in paid]
 
     def _ask_origin(self, now: float, rec: Record) -> None:
         if not self._origins or not self._may_send(now, rec):  # also after a time-out at the deadline
@@ -503,10 +521,15 @@
             self._route(now, rec)
 
     def _look(self, now: float, server: Server) -> None:
-        """Marks a server that has requests out and gives no sign of life."""
+        """Sends again what is long overdue, and marks a server that gives no sign of life."""
         server.watched = bool(server.out) and server.missed_ms is None
         if not server.watched:
             return
+        self._timers.at(now + LOOK_MS, self._look, server)
+        if self._set.may_copy:
+            self._send_again(now, server)
+        if server.origin:
+            return
         # In a jam the answers that come tell of long ago; the age of what is out tells of now.
         age = now - sum(sent for _, sent in server.out.values()) / len(server.out)
         if len(server.out) > 1 and age > self._crowd_ms(server):
@@ -523,7 +546,24 @@
             marked = sum(s.missed_ms is not None for s in self._servers.values())
             if marked + 1 <= max(1, QUIET_SHARE * self._members):
                 self._mark(now, server)
-        self._timers.at(now + LOOK_MS, self._look, server)
+
+    def _send_again(self, now: float, server: Server) -> None:
+        """A connection may fall silent while its server answers others on theirs: a read goes there again."""
+        for rec, sent in list(server.out.values()):
+            usual = max(server.pace.mean_ms, self._origin_pace.mean_ms if server.origin else rec.pace.mean_ms)
+            overdue = sent < server.overtaken_ms and now - sent > self._late * usual
+            alone = len(rec.out) == 1 and not (rec.done or rec.begun or rec.write)
+            if overdue and alone and self._late_room >= 1.0 and self._may_send(now, rec):
+                self._late_room -= 1.0
+                rec.again = rec.attempts
+                self._send(now, rec, server, rec.use_ms - now)
+
+    def _settle_copies(self, rec: Record, attempt: int) -> None:
+        """One copy has its answer: the other is called off, and tells whether to ask sooner or later next."""
+        factor = LATE_STEP if attempt == rec.again else 1.0 / LATE_STEP
+        self._late = min(LATE_MAX, max(LATE_MIN, self._late * factor))
+        self._acts += [api.Cancel(rec.id, number) for number in rec.out]
+        rec.again = 0
 
     def _on_probed(self, now: float, event: api.Probed) -> None:
         server = self._servers.get(event.server)
--- a/olivestair/settings.py
+++ b/olivestair/settings.py
@@ -107,6 +107,7 @@
         max_attempts=_value(limits, "send-cap", int, "limits.", 3),
         may_cancel=bool(limits.get("cancel")),
         may_probe=bool(limits.get("probing")),
+        may_copy=bool(limits.get("second-copies")) and bool(limits.get("cancel")),
         max_retry_after_ms=limit("max-retry-after", 0.0) if limits.get("retry-after") else 0.0,
         granularity_ms=_value(raw, "granularity", float, default=1.0),
         start_capacity=rule("start-capacity") or 1.0,
--- a/olivestair/state.py
+++ b/olivestair/state.py
@@ -29,7 +29,9 @@
     least: float  # the bound goes no lower
     calm_ms: float  # a mean latency under it is never crowded
     warm_from_ms: float = -math.inf
-    out: dict = field(default_factory=dict)  # request id -> (Record, sent_ms)
+    out: dict = field(default_factory=dict)  # (request id, attempt number) -> (Record, sent_ms)
+    overtaken_ms: float = -math.inf  # the latest send that has been answered
+    breaks: int = 0  # resets since its last answer
     heard_ms: float = 0.0  # last answer, or first send after a time with nothing out
     missed_ms: float | None = None  # when it was marked
     trial_ms: float = 0.0  # next trial
@@ -68,7 +70,9 @@
     use_ms: float  # clock times: an answer after that is of no use
     deadline_ms: float
     excess: bool  # beyond its tenant's share
+    pace: Pace  # of its class at cache servers
     heat: float = 0.0  # its key's load, in loads of a mean server
+    again: int = 0  # the number of its second copy
     turn: Turn | None = None  # where its class runs in turn
     held: bool = False  # for its turn
     attempts: int = 0
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,5 +1,7 @@
 """Failures found, each as a small case, and the departures from the plain walk."""
 
+import pytest
+
 from olivestair import api
 from olivestair.api import Status
 from olivestair.decide import RESUBSCRIBE, Balancer
@@ -589,3 +591,75 @@
         names = [d.ask(f"x{i}", cls=3) for i in range(300)]
         sent.append(sum(d.sends.get(name, ["-"])[0] in ("s1", "s2", "s3") for name in names))
     assert 0 < sent[1] < sent[0] / 2
+
+
+def out_of_two(d, cls=3):
+    """A read that is out for nine mean latencies at a server that answers others meanwhile."""
+    for i in range(60):
+        d.serve(d.ask(f"warm{i}", cls=cls), 60.0)
+    late, other = d.ask("k", cls=cls), d.ask("k")
+    assert d.sends[late] == d.sends[other]
+    d.serve(other, 60.0)
+    for _ in range(8):
+        d.pass_time(60)
+        d.owner("k")
+    return late
+
+
+def test_a_read_on_a_connection_that_fell_silent_goes_again_to_the_server_that_answers_others(drive):
+    # Silent days: 2% of the legs got no byte on connections that had answered before, and waited on.
+    d = drive(may_copy=True)
+    late = out_of_two(d)
+    assert d.sends[late] == [d.sends[late][0]] * 2 and not d.cancels and not d.logs
+    d.answer(late, Status.OK, 60.0)
+    assert d.cancels == [(late, 0)]
+    # It was worth it: the next is sent again sooner.
+    d.do(api.Outcome(late, d.sends[late][0], 0, Status.CANCELLED, 1.0, True))
+    assert d.balancer._late < 8.0 and not d.balancer._records
+    assert not any(server.out for server in d.balancer._servers.values())
+
+
+def test_where_the_first_copy_answers_after_all_the_next_is_sent_again_later(drive):
+    d = drive(may_copy=True)
+    late = out_of_two(d)
+    d.do(api.Outcome(late, d.sends[late][0], 0, Status.OK, 1060.0, True))
+    assert d.cancels == [(late, 1)] and d.balancer._late > 8.0
+
+
+def test_a_second_copy_that_misses_goes_on_to_the_origin(drive):
+    d = drive(may_copy=True)
+    late = out_of_two(d)
+    d.answer(late, Status.MISS, 1.0)
+    d.do(api.Outcome(late, d.sends[late][0], 0, Status.CANCELLED, 1.0))
+    assert d.sends[late][2] == "origin"
+
+
+@pytest.mark.parametrize("write", [False, True])
+def test_a_request_that_may_not_run_twice_gets_no_second_copy(drive, write):
+    d = drive(may_copy=True)
+    warm_up(d)
+    d.ask("k", cls=2, write=write)
+    for _ in range(3):
+        d.serve(d.ask("k", cls=2, write=write), 60.0)
+    d.pass_time(1500)
+    assert all(len(servers) == 1 for servers in d.sends.values())
+
+
+def test_one_reset_at_a_server_that_answers_others_does_not_mark_it(drive):
+    # Garble and silent days: each spoilt answer moved all keys of its box for half a second.
+    d = drive()
+    owner = d.owner("k")
+    d.answer(d.ask("k"), Status.RESET, 60.0)
+    assert not d.logs and d.owner("k") == owner
+    for _ in range(2):
+        d.answer(d.ask("k"), Status.RESET, 60.0)
+    assert d.logs == [f"{owner} marked missed"]
+
+
+def test_one_time_out_does_not_read_as_a_jam(drive):
+    # Silent days: a single time-out tripled the mean latency, and 28% of the requests were refused for it.
+    d = drive()
+    late = out_of_two(d)
+    d.answer(late, Status.TIMEOUT, 1400.0)
+    names = [d.ask(f"x{i}") for i in range(20)]
+    assert all(name in d.sends for name in names)
