Bound a server's requests at no less than six over all balancers

A probe that counted the ends by place: 98% of them in _route, no member with room; half the servers at a mean of 200 ms with a bound of 1.0 and one request out, though boxes have 5 to 7 cores. Ruled out: early drops (1 of 103), the origin (1). At fault: _bound cuts by latency alone down to LIMIT_MIN, and a server that is slow by itself, with nothing waiting, never gets better by it.

--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -30,7 +30,7 @@
 MARGIN_MS = 2.0  # final answers precede the deadline by this and two rounds of the wire
 MEMBERS = 3  # R, the preference set: a key asked of more servers only spreads a jam and copies
 LIMIT_START = 24.0  # requests out at one server from all balancers together: first guess, some cores' worth
-LIMIT_MIN = 1.0  # of this balancer's part
+LIMIT_MIN, LIMIT_CORES = 1.0, 6.0  # of this balancer's part; and of all parts, since so many do not wait
 LIMIT_CUT = 0.8  # factor on the bound when the server is full, fails or is crowded
 CROWD_AIM = 0.25  # of the shortest aim: a mean latency under it is never called crowded
 ORIGIN_AIM, ORIGIN_MIN = 0.5, 2.0  # for the origin: its answers scatter, and cut too far the caches run empty
@@ -135,6 +135,7 @@
         if server is None:
             origin = entry.kind == self._set.origin_kind
             least, calm = (ORIGIN_MIN, ORIGIN_AIM) if origin else (LIMIT_MIN, CROWD_AIM)
+            least = max(least, LIMIT_CORES / self._set.peers_total)
             limit = max(2 * least, LIMIT_START / self._set.peers_total)
             pace = self._origin_pace if origin else Pace(self._pace.mean_ms)
             kin = self._kinds.setdefault(entry.kind, Pace(self._pace.mean_ms))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -663,3 +663,13 @@
     d.answer(late, Status.TIMEOUT, 1400.0)
     names = [d.ask(f"x{i}") for i in range(20)]
     assert all(name in d.sends for name in names)
+
+
+def test_a_slow_server_keeps_as_many_requests_as_run_without_waiting(drive):
+    # Churn days: throttled servers took 200 ms however few they had, their bounds fell to one request each,
+    # and 12% of all requests found no member with room.
+    d = drive(servers=1, peers_total=2)
+    for i in range(80):
+        d.serve(d.ask(f"k{i}", cls=3), 200.0 if i > 40 else 50.0)
+    names = [d.ask(f"x{i}", cls=3) for i in range(12)]
+    assert sum(name in d.sends for name in names) >= 3
