--- a/cloverwell/__main__.py
+++ b/cloverwell/__main__.py
@@ -13,6 +13,7 @@
 
 from cloverwell.config import Config, ConfigError, read_config
 from cloverwell.log import Log
+from cloverwell.net.port import listen
 from cloverwell.service import Service
 from cloverwell.wheel import monotonic_ms
 
@@ -59,7 +60,7 @@
     service = Service(reactor, config, log, monotonic_ms, monotonic_ms() - time.time() * 1000.0)
     handle_signals(service, reactor.callFromThread)
     try:
-        service.start()
+        service.start(listen)
     except CannotListenError as error:
         print(f"cloverwell: listen: {error}".replace("\n", " "), file=sys.stderr)
         return 2
--- a/cloverwell/authorisation.py
+++ b/cloverwell/authorisation.py
@@ -42,6 +42,8 @@
     write_by_ms: float  # no byte of it leaves later
     done: Callable[[Attempt, Outcome, bytes], None]
     pool: Pool
+    dear: bool = False  # it may not run twice: a reset behind its last byte loses the request
+    moves: int = 0  # connections that were found closed before its last byte
     timer: Timer | None = None
     written_ms: float | None = None  # when its last byte was handed to the transport
     over: bool = False
--- /dev/null
+++ b/cloverwell/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Which connections are let in, kept, opened ahead and retired: decisions without I/O, clock or log."""
--- /dev/null
+++ b/cloverwell/connections/back.py
@@ -0,0 +1,235 @@
+"""How many connections a box gets, which is used first, opened ahead, validated and retired: no I/O.
+
+Times are milliseconds of one clock. A box is a name; its kind is what it runs (`cache` or `origin`).
+
+**Reuse.** The connection used last goes first: it is the youngest, and the surplus grows old and is retired.
+
+**Validation.** A connection may have been closed without a word, and a request that is reset may have run.
+So a leg whose loss would be dear, or whose connection has an age at which none has been seen to live, is
+written but for its last byte; a box that has closed answers that with a reset, and without its last byte the
+request never ran, so it goes elsewhere at no loss. What that costs is one way there and back.
+
+**Ahead.** One more than is in use is kept at hand where legs come fast enough that it will be used before it
+is stale, where handshakes are dear, and where the box is neither cold nor leaving.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+from cloverwell.connections.stale import Limits
+
+HOLD_MS = (4.0, 45.0)  # what the last byte is held back for, at least and at most
+FIRST_HOLD_MS = 8.0
+HOLD_TIMES = 1.25  # of the longest that resets take to come, of late
+SUSPECT = 0.004  # resets per leg of late, over which even fresh connections are validated for dear legs
+YOUNG_MS = 50.0  # idle for less: no box closes so soon, until it is seen to
+ALMOST = 0.03  # weight of a leg in the share of resets
+DEAR_MS = 3.0  # a handshake that takes less is not worth one ahead of need
+AHEAD_EACH = 2  # opened ahead for a box at once
+PEAK_MS = 250.0  # a window of the forecast
+PEAK_WEIGHT = 0.15
+WIDTHS = 1.5  # mean deviations of the peaks that are kept at hand above their mean
+FULL = 4  # connections refused in a row, while others stand, that show a box to hold no more
+CAP_BACK_MS = 2000.0  # a box that refused a connection is asked for one more after so long
+QUICK_MS = 60.0  # a reset that takes longer fell on work, and says nothing of how long resets take to come
+
+
+class Use(Enum):
+    WHOLE = "whole"  # write all of the leg
+    SPLIT = "split"  # write all but its last byte, and that after `hold_ms`
+    RETIRE = "retire"  # close the connection: it is too old
+
+
+@dataclass(slots=True)
+class Box:
+    kind: str
+    cold_until_ms: float = -math.inf
+    left_ms: float | None = None  # told that it drains or is gone
+    in_use: int = 0
+    peak: int = 0  # most in use in this window
+    window_ms: float = -math.inf  # its end
+    mean: float = 0.0  # of the peaks
+    width: float = 0.0  # their mean deviation
+    gap_ms: float = 1000.0  # between legs, on average
+    leg_ms: float = -math.inf  # the last one
+    connect_ms: float = 0.0  # what a handshake takes: a running mean
+    refusals: int = 0  # in a row, while some stood
+    cap: float = math.inf  # it has refused more
+    cap_ms: float = 0.0  # when that was
+
+
+@dataclass(slots=True)
+class Kin:
+    """What boxes of a kind have in common."""
+
+    resets: float = 0.0  # of late, per leg
+    reset_ms: float = FIRST_HOLD_MS / HOLD_TIMES  # the longest that one took to come, sinking slowly
+
+
+class Back:
+    def __init__(self, most_idle_ms: float, grace_ms: float, now: float) -> None:
+        """`most_idle_ms`: an idle connection is retired by then; `grace_ms`: in which a leaving box is still
+        opened to."""
+        self.limits = Limits(most_idle_ms, now)
+        self._grace_ms = grace_ms
+        self._boxes: dict[str, Box] = {}
+        self._kinds: dict[str, Kin] = {}
+
+    # What is known of boxes ---------------------------------------------------------------------
+
+    def named(self, box: str, kind: str, cold_until_ms: float = -math.inf) -> None:
+        """The routing table has it, ready."""
+        entry = self._boxes.get(box)
+        if entry is None:
+            entry = self._boxes[box] = Box(kind)
+            self._kinds.setdefault(kind, Kin())
+        entry.cold_until_ms = cold_until_ms
+        entry.left_ms = None
+
+    def left(self, box: str, now: float) -> None:
+        """It drains or is gone; told now."""
+        entry = self._boxes.get(box)
+        if entry is not None and entry.left_ms is None:
+            entry.left_ms = now
+
+    def forget(self, box: str) -> None:
+        self._boxes.pop(box, None)
+        self.limits.forget(box)
+
+    def __len__(self) -> int:
+        return len(self._boxes)
+
+    # What happens -------------------------------------------------------------------------------
+
+    def started(self, box: str, in_use: int, now: float) -> None:
+        """A leg begins; so many connections have one now, it included."""
+        entry = self._boxes.get(box)
+        if entry is None:
+            return
+        if entry.leg_ms > -math.inf:
+            entry.gap_ms += 0.1 * (min(now - entry.leg_ms, 10_000.0) - entry.gap_ms)
+        entry.leg_ms = now
+        self._turn(entry, now)
+        entry.in_use = in_use
+        entry.peak = max(entry.peak, in_use)
+
+    def connected(self, box: str, took_ms: float) -> None:
+        entry = self._boxes.get(box)
+        if entry is not None:
+            entry.connect_ms += 0.2 * (took_ms - entry.connect_ms)
+            entry.refusals = 0
+
+    def refused(self, box: str, opened: int, now: float) -> None:
+        """No connection came up, while so many stood: it takes no more, or is not there."""
+        entry = self._boxes.get(box)
+        if entry is None or not opened:
+            return
+        # One alone is a fault on the way; several without a success between are a box that is full.
+        entry.refusals += 1
+        if entry.refusals >= FULL:
+            entry.cap, entry.cap_ms = float(opened), now
+
+    def answered(self, box: str, age_ms: float | None, now: float) -> None:
+        """A leg got its answer; `age_ms`: its connection had stood idle so long, None on a fresh one."""
+        entry = self._boxes.get(box)
+        if entry is None:
+            return
+        self._kinds[entry.kind].resets *= 1.0 - ALMOST
+        if age_ms is not None:
+            self.limits.learn(box, entry.kind, age_ms, False, now)
+
+    def lost(self, box: str, age_ms: float | None, after_ms: float, begun: bool, now: float) -> None:
+        """A leg's connection broke so long after its first byte; `begun`: an answer had begun."""
+        entry = self._boxes.get(box)
+        if entry is None:
+            return
+        if begun or after_ms > QUICK_MS:
+            return
+        kin = self._kinds[entry.kind]
+        kin.resets += ALMOST * (1.0 - kin.resets)
+        kin.reset_ms = max(after_ms, 0.95 * kin.reset_ms + 0.05 * after_ms)
+        if age_ms is not None:
+            self.limits.learn(box, entry.kind, age_ms, True, now)
+
+    # What to do ---------------------------------------------------------------------------------
+
+    def use(self, box: str, age_ms: float | None, dear: bool) -> Use:
+        """Of a connection that has stood idle so long, None for a fresh one; `dear`: the leg may not run
+        twice."""
+        entry = self._boxes.get(box)
+        if entry is None:
+            return Use.WHOLE
+        if age_ms is not None and age_ms >= self.limits.limit_ms(box, entry.kind):
+            return Use.RETIRE
+        if dear and self._kinds[entry.kind].resets > SUSPECT:
+            return Use.SPLIT
+        if age_ms is None or age_ms < YOUNG_MS:
+            return Use.WHOLE
+        return Use.SPLIT if dear or not self.limits.proven(box, entry.kind, age_ms) else Use.WHOLE
+
+    def hold_ms(self, box: str) -> float:
+        """How long to wait for a reset before the last byte."""
+        entry = self._boxes.get(box)
+        if entry is None:
+            return HOLD_MS[0]
+        wait = max(HOLD_TIMES * self._kinds[entry.kind].reset_ms, entry.connect_ms)
+        return min(max(HOLD_MS[0], wait), HOLD_MS[1])
+
+    def idle_limit_ms(self, box: str) -> float:
+        entry = self._boxes.get(box)
+        return self.limits.most_ms if entry is None else self.limits.limit_ms(box, entry.kind)
+
+    def may_open(self, box: str, opened: int, now: float) -> bool:
+        """Whether the box may be asked for one more connection; `opened`: those it has, opening ones too."""
+        entry = self._boxes.get(box)
+        if entry is None:
+            return True
+        if entry.left_ms is not None and now - entry.left_ms >= self._grace_ms:
+            return False
+        if opened < entry.cap:
+            return True
+        if now - entry.cap_ms >= CAP_BACK_MS:  # perhaps it has room again: one more, and see
+            entry.cap, entry.cap_ms = entry.cap + 1.0, now
+            return opened < entry.cap
+        return False
+
+    def late(self, box: str, now: float) -> bool:
+        """Nothing new may go to the box any more."""
+        entry = self._boxes.get(box)
+        return entry is not None and entry.left_ms is not None and now - entry.left_ms >= self._grace_ms
+
+    def target(self, box: str, now: float) -> int:
+        """So many connections its legs will want at once, as far as the last windows tell."""
+        entry = self._boxes.get(box)
+        if entry is None:
+            return 0
+        self._turn(entry, now)
+        return math.ceil(max(entry.mean + WIDTHS * entry.width, entry.peak))
+
+    def ahead(self, box: str, opened: int, now: float) -> int:
+        """How many to open now, before a leg needs them."""
+        entry = self._boxes.get(box)
+        if entry is None or entry.left_ms is not None or now < entry.cold_until_ms:
+            return 0
+        if entry.connect_ms < DEAR_MS or entry.cap < math.inf:
+            return 0
+        # The spare ones take turns with those in use: each is used about once in `target` gaps.
+        wanted = self.target(box, now)
+        if wanted * entry.gap_ms > 0.5 * self.limits.limit_ms(box, entry.kind):
+            return 0
+        return min(AHEAD_EACH, max(0, wanted - opened))
+
+    def _turn(self, entry: Box, now: float) -> None:
+        """Closes the windows that have ended."""
+        if now < entry.window_ms:
+            return
+        if entry.window_ms > -math.inf:
+            idle = min(40, int((now - entry.window_ms) / PEAK_MS))
+            for peak in [entry.peak, *([entry.in_use] * idle)]:
+                entry.width += PEAK_WEIGHT * (abs(peak - entry.mean) - entry.width)
+                entry.mean += PEAK_WEIGHT * (peak - entry.mean)
+        entry.peak = entry.in_use
+        entry.window_ms = now + PEAK_MS
--- /dev/null
+++ b/cloverwell/connections/budget.py
@@ -0,0 +1,69 @@
+"""One budget of descriptors over the clients' side and the boxes' side.
+
+Each side has a floor, which the other can never take; all between the floors goes to whoever asks first. A
+side that finds no room closes what is idle: its own, or what the other holds beyond its floor (`lender`).
+The invariant, checked at every change: what is held never passes the total, and each side can reach its
+floor whatever the other does.
+"""
+
+from enum import Enum
+
+BACK_FLOOR = 0.35  # of the descriptors: legs queue and share connections when there are fewer
+FRONT_FLOOR = 0.5
+WORK_SHARE = 0.45  # clients with requests in hand beyond that are declined: there is room left to do it in
+
+
+class Side(Enum):
+    FRONT = "front"
+    BACK = "back"
+
+
+def other(side: Side) -> Side:
+    return Side.BACK if side is Side.FRONT else Side.FRONT
+
+
+class BudgetError(Exception):
+    """More was taken than there is, or given back than was held: a fault of the caller."""
+
+
+class Budget:
+    def __init__(self, total: int, front_floor: float = FRONT_FLOOR, back_floor: float = BACK_FLOOR) -> None:
+        """`total`: descriptors for both sides; the floors are shares of it and may not pass 1 together."""
+        if total < 2 or front_floor + back_floor > 1.0 or min(front_floor, back_floor) <= 0.0:
+            raise ValueError("a budget needs two descriptors, and floors over 0 that do not pass 1")
+        self.total = total
+        self.floors = {
+            Side.FRONT: max(1, int(front_floor * total)),
+            Side.BACK: max(1, int(back_floor * total)),
+        }
+        self.held = {Side.FRONT: 0, Side.BACK: 0}
+
+    @property
+    def work_cap(self) -> int:
+        """So many clients may have requests in hand."""
+        return max(1, int(WORK_SHARE * self.total))
+
+    def room(self, side: Side) -> int:
+        """How many more `side` may hold now."""
+        theirs = other(side)
+        kept = max(self.held[theirs], self.floors[theirs])
+        return max(0, self.total - self.held[side] - kept)
+
+    def most(self, side: Side) -> int:
+        """What `side` could hold at the best."""
+        return self.total - self.floors[other(side)]
+
+    def take(self, side: Side) -> None:
+        if not self.room(side):
+            raise BudgetError(f"{side.value}: no room")
+        self.held[side] += 1
+
+    def give_back(self, side: Side) -> None:
+        if not self.held[side]:
+            raise BudgetError(f"{side.value}: nothing is held")
+        self.held[side] -= 1
+
+    def lender(self, side: Side) -> bool:
+        """Whether the other side holds more than its floor: one closed there makes room here."""
+        theirs = other(side)
+        return self.held[theirs] > self.floors[theirs]
--- /dev/null
+++ b/cloverwell/connections/figures.py
@@ -0,0 +1,62 @@
+"""What the connections' decisions count, for the log and for later metrics."""
+
+from collections import Counter
+from collections.abc import Iterator
+from enum import Enum
+
+OTHERS = "others"
+MAX_NAMES = 1100  # boxes counted by name; successors have new names, and a long day would gather them
+
+
+class What(Enum):
+    """Each is counted by the box it was for, or by the reason behind it."""
+
+    OPENED = "opened"  # back: a connection came up
+    REFUSED = "refused"  # back: none came up
+    AHEAD = "opened_ahead"  # back: asked for before a leg needed it
+    REUSED = "reused"  # back: a leg was written to one that had served before
+    RETIRED = "retired"  # back: closed by us while idle
+    CLOSED = "closed_by_box"  # back: the box ended an idle one
+    STALE = "stale"  # back: a leg was lost at once on one that had stood idle
+    CAUGHT = "caught"  # back: the same, but its last byte had not been written: the leg went elsewhere
+    RESET = "reset"  # back: a leg was lost on a fresh or busy one
+    ADMITTED = "admitted"  # front: a client's connection was accepted
+    CLOSED_FRONT = "closed_front"  # front: closed by us, by reason
+    SPARED = "spared"  # front: was to be closed, but a request stood unread in it
+    DECLINED = "declined"  # front: a request was declined for want of descriptors
+    PAUSED = "paused"  # front: nothing was accepted for a while
+
+
+class Figures:
+    """Counters by kind and name; what a forgotten name counted stays in the total."""
+
+    def __init__(self) -> None:
+        self._by: dict[What, Counter[str]] = {what: Counter() for what in What}
+
+    def add(self, what: What, name: str = "", number: int = 1) -> None:
+        counter = self._by[what]
+        if name not in counter and len(counter) >= MAX_NAMES:
+            name = OTHERS
+        counter[name] += number
+
+    def forget(self, name: str) -> None:
+        """The box is gone: its figures go to those of all others."""
+        for counter in self._by.values():
+            if name in counter:
+                counter[OTHERS] += counter.pop(name)
+
+    def total(self, what: What) -> int:
+        return sum(self._by[what].values())
+
+    def by(self, what: What) -> dict[str, int]:
+        return dict(self._by[what])
+
+    def rows(self) -> Iterator[tuple[str, str, int]]:
+        """(kind, name, count) of all that is not zero, in a fixed order."""
+        for what, counter in self._by.items():
+            for name in sorted(counter):
+                yield what.value, name, counter[name]
+
+    def line(self, *whats: What) -> str:
+        """`kind number` of each that has happened, for a log line."""
+        return ", ".join(f"{what.value} {total}" for what in whats if (total := self.total(what)))
--- /dev/null
+++ b/cloverwell/connections/front.py
@@ -0,0 +1,319 @@
+"""Which clients' connections are kept, and which are closed for room. State in, choice out: no I/O.
+
+A connection is a *guest* here, any hashable thing; the caller tells what happens to it and carries out what
+`overdue` and `for_room` list. It may find that a guest can't be closed (a request stands unread in the
+machine's buffer) and then says `spare`. Times are milliseconds of one clock that never goes back.
+
+Closing between requests loses nothing (the client sends again what crossed it), but costs it a handshake;
+so the question is always who is least likely to ask soon. That is learnt from the clients there are:
+
+- how long after its connection a client sends its first request (`_asks_after`): one that is silent far
+  beyond that is of a crowd that never asks, whatever it is there for;
+- how often a client that has asked once, or a few times, or often, asks again (`Habit`).
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, OrderedDict
+from collections.abc import Hashable
+from dataclasses import dataclass
+from enum import Enum
+
+QUIET_MS = (
+    1900.0  # never asked, or half a command: closed by then, whatever room there is (the platform's 2 s)
+)
+KEEP_MS = 10_000.0  # has asked, and is quiet
+UNREAD_MS = 10_000.0  # no request has so much time: nobody waits for an answer that is not read
+LINGER_MS = 1000.0  # what a client may take to close its side once ours is closed,
+PRESSED_LINGER_MS = 100.0  # and where descriptors are wanted
+GRACE_MS = (40.0, 400.0)  # a new one is never closed for room sooner than the first; no need to wait longer
+GRACE_TIMES = 3.0  # that much of the time that nearly all take to their first request
+FIRST_GRACE_MS = 150.0  # while nothing is known
+HALF_GRACE_MS = 500.0  # half a command under pressure
+SETTLE_MS = 20.0  # an answer's way to its client: nobody is closed for room sooner after one
+SILENT_SHARE = 0.5  # of the clients' part, for those that have not asked yet
+RESERVE_MS = 150.0  # room is kept for the arrivals of so long
+RESERVE = (4, 0.25)  # at least so many, and at most this share of the clients' part
+RATE_MS = 300.0  # over which arrivals are averaged; a rise counts at once
+TURN = 32  # accepted in one turn of the loop, at most: the others' requests wait meanwhile
+
+
+class Stage(Enum):
+    NEW = 0  # has asked nothing
+    HALF = 1  # stands in the middle of a command
+    BUSY = 2  # has a request open
+    QUIET = 3  # has asked, and has nothing open
+    CLOSING = 4  # our side is closed
+
+
+class Reason(Enum):
+    SILENT = "silent"  # never asked
+    HALF = "half"  # half a command
+    IDLE = "idle"  # asked, and quiet too long
+    UNREAD = "unread"  # does not read its answers
+    LINGER = "linger"  # did not close its side after ours
+    ROOM = "room"  # asked and quiet, closed for another
+
+
+@dataclass(slots=True, frozen=True)
+class Close:
+    """`cut`: its descriptor is wanted now, without waiting for the client's close."""
+
+    guest: Hashable
+    reason: Reason
+    cut: bool = False
+
+
+@dataclass(slots=True)
+class Guest:
+    source: str
+    stage: Stage
+    since_ms: float  # in this stage
+    asked: int = 0  # requests so far
+    waits_ms: float = 0.0  # spared: not named again before then
+
+
+class Habit:
+    """How often those that have asked so many times ask again: a share that forgets."""
+
+    WEIGHT = 0.02
+
+    def __init__(self, share: float) -> None:
+        self.share = share
+
+    def learn(self, came_back: bool) -> None:
+        self.share += self.WEIGHT * ((1.0 if came_back else 0.0) - self.share)
+
+
+def group_of(asked: int) -> int:
+    """Clients that have asked once, a few times, often."""
+    return 0 if asked <= 1 else 1 if asked < 4 else 2
+
+
+class HighMark:
+    """A value that about 19 of 20 samples stay under: it rises fast and sinks slowly, in constant memory."""
+
+    SHARE = 0.95
+
+    def __init__(self, first: float) -> None:
+        self.value = first
+
+    def learn(self, sample: float) -> None:
+        # Stochastic approximation of the quantile, in steps relative to its size.
+        step = 0.05 * max(self.value, 1.0)
+        self.value = max(0.1, self.value + step * (self.SHARE if sample > self.value else self.SHARE - 1.0))
+
+
+class Front:
+    """The guests by stage, longest in it first, and what is known of their habits."""
+
+    def __init__(self, most: int, asking: int, now: float) -> None:
+        """`most`: connections that clients may hold at the best; `asking`: that they open for requests. Where
+        so many have asked and stand, a client with a request can't open another, whatever room there is."""
+        self.most = most
+        self.asking = asking
+        self._guests: dict[Hashable, Guest] = {}
+        # BUSY ones need no order: they are never named. QUIET ones stand by group.
+        self._new: OrderedDict[Hashable, None] = OrderedDict()
+        self._half: OrderedDict[Hashable, None] = OrderedDict()
+        self._quiet: list[OrderedDict[Hashable, None]] = [OrderedDict() for _ in range(3)]
+        self._closing: OrderedDict[Hashable, None] = OrderedDict()
+        self._busy = 0
+        self._sources: Counter[str] = Counter()  # of those that have not asked
+        self._habits = [Habit(0.3), Habit(0.7), Habit(0.9)]
+        self._asks_after = HighMark(FIRST_GRACE_MS / GRACE_TIMES)
+        self._rate = 0.0  # arrivals a millisecond
+        self._heard_ms = now
+
+    # What happens -------------------------------------------------------------------------------
+
+    def opened(self, guest: Hashable, now: float, source: str = "") -> None:
+        self._guests[guest] = Guest(source, Stage.NEW, now)
+        self._new[guest] = None
+        self._sources[source] += 1
+        self._decay(now)
+        self._rate += 1.0 / RATE_MS
+
+    def asked(self, guest: Hashable, now: float) -> None:
+        """A request of it has begun to be served."""
+        entry = self._guests.get(guest)
+        if entry is None or entry.stage is Stage.CLOSING:
+            return
+        if not entry.asked:
+            self._asks_after.learn(now - entry.since_ms)
+        elif entry.stage is Stage.QUIET:
+            self._habits[group_of(entry.asked)].learn(True)
+        self._move(guest, entry, Stage.BUSY, now)
+        entry.asked += 1  # only now: it decides in which line a quiet one stands
+
+    def quiet(self, guest: Hashable, now: float, half: bool) -> None:
+        """It has no open request; `half`: but a part of one."""
+        entry = self._guests.get(guest)
+        if entry is None or entry.stage is Stage.CLOSING:
+            return
+        stage = Stage.HALF if half else Stage.QUIET if entry.asked else Stage.NEW
+        if stage is entry.stage:
+            return  # its time runs from its connection, its first byte or its answer on: an error wins none
+        self._move(guest, entry, stage, now)
+
+    def closing(self, guest: Hashable, now: float) -> None:
+        """Our side is closed."""
+        entry = self._guests.get(guest)
+        if entry is not None and entry.stage is not Stage.CLOSING:
+            if entry.stage is Stage.QUIET:
+                self._habits[group_of(entry.asked)].learn(False)
+            self._move(guest, entry, Stage.CLOSING, now)
+
+    def closed(self, guest: Hashable) -> None:
+        entry = self._guests.pop(guest, None)
+        if entry is not None:
+            self._leave(guest, entry)
+
+    def spare(self, guest: Hashable, now: float) -> None:
+        """It could not be closed: a request stands unread, or an answer. Not named again for a while."""
+        if (entry := self._guests.get(guest)) is not None:
+            entry.waits_ms = now + SETTLE_MS
+
+    def _move(self, guest: Hashable, entry: Guest, stage: Stage, now: float) -> None:
+        self._leave(guest, entry)
+        entry.stage, entry.since_ms, entry.waits_ms = stage, now, 0.0
+        match stage:
+            case Stage.BUSY:
+                self._busy += 1
+            case Stage.NEW:
+                self._new[guest] = None
+                self._sources[entry.source] += 1
+            case _:
+                self._line(entry)[guest] = None
+
+    def _leave(self, guest: Hashable, entry: Guest) -> None:
+        if entry.stage is Stage.BUSY:
+            self._busy -= 1
+            return
+        if entry.stage is Stage.NEW:
+            self._sources[entry.source] -= 1
+            if not self._sources[entry.source]:
+                del self._sources[entry.source]
+        self._line(entry).pop(guest, None)
+
+    def _line(self, entry: Guest) -> OrderedDict[Hashable, None]:
+        match entry.stage:
+            case Stage.NEW:
+                return self._new
+            case Stage.HALF:
+                return self._half
+            case Stage.QUIET:
+                return self._quiet[group_of(entry.asked)]
+        return self._closing
+
+    # What is known ------------------------------------------------------------------------------
+
+    def __len__(self) -> int:
+        return len(self._guests)
+
+    @property
+    def busy(self) -> int:
+        return self._busy
+
+    def stage_of(self, guest: Hashable) -> Stage | None:
+        entry = self._guests.get(guest)
+        return None if entry is None else entry.stage
+
+    def grace_ms(self) -> float:
+        """How long a new one is waited for where others want its place."""
+        return min(max(GRACE_MS[0], GRACE_TIMES * self._asks_after.value), GRACE_MS[1])
+
+    def reserve(self, now: float) -> int:
+        """Room to be kept for those that will connect before the next look."""
+        self._decay(now)
+        wanted = math.ceil(self._rate * RESERVE_MS)
+        return int(min(max(RESERVE[0], wanted), max(1.0, RESERVE[1] * self.most)))
+
+    def crowd(self) -> bool:
+        """So many have not asked that it is no rush: those who come to be served ask at once."""
+        return len(self._new) > SILENT_SHARE * self.most
+
+    def _decay(self, now: float) -> None:
+        self._rate *= math.exp((self._heard_ms - now) / RATE_MS)
+        self._heard_ms = now
+
+    # Who goes -----------------------------------------------------------------------------------
+
+    def overdue(self, now: float) -> list[Close]:
+        """Those whose time is over, however much room there is."""
+        found: list[Close] = []
+        lines = ((self._new, QUIET_MS, Reason.SILENT), (self._half, QUIET_MS, Reason.HALF))
+        lines += tuple((line, KEEP_MS, Reason.IDLE) for line in self._quiet)
+        for line, most_ms, reason in lines:
+            found += [Close(guest, reason) for guest in self._older(line, now, most_ms)]
+        found += [Close(guest, Reason.LINGER, True) for guest in self._older(self._closing, now, LINGER_MS)]
+        return found
+
+    def for_room(self, now: float, wanted: int, room: int) -> list[Close]:
+        """Up to twice `wanted` guests whose closing makes room, those first who are least likely to ask.
+
+        `room`: what there is without. Those that are closing come free by themselves within moments, so
+        they count as room; they are cut off only where there is none at all.
+        """
+        found: list[Close] = []
+        if room <= 0:
+            found += [
+                Close(guest, Reason.LINGER, True)
+                for guest in self._older(self._closing, now, PRESSED_LINGER_MS, wanted)
+            ]
+        else:
+            wanted -= len(self._closing)
+        most = 2 * wanted
+        cut = room <= 0
+        for candidates in (self._silent, self._halves, self._quiet_ones):
+            if len(found) >= most:
+                break
+            found += candidates(now, most - len(found), cut)
+        return found[: max(0, most)]
+
+    def for_asking(self, now: float) -> list[Close]:
+        """Those to close so that clients can open as many as will be wanted for requests."""
+        held = self._busy + sum(len(line) for line in self._quiet)
+        wanted = min(self.reserve(now), self.asking // 2) - (self.asking - held)
+        return self._quiet_ones(now, max(0, wanted), False)
+
+    def _older(
+        self, line: OrderedDict[Hashable, None], now: float, age_ms: float, most: int = 1 << 30
+    ) -> list[Hashable]:
+        found = []
+        for guest in line:
+            entry = self._guests[guest]
+            if now - entry.since_ms < age_ms or len(found) >= most:
+                break
+            if entry.waits_ms <= now:
+                found.append(guest)
+        return found
+
+    def _silent(self, now: float, most: int, cut: bool) -> list[Close]:
+        # Where they are a crowd, their first moments must do: others wait behind them to be let in.
+        age = GRACE_MS[0] if self.crowd() else self.grace_ms()
+        old = self._older(self._new, now, age)
+        if len(self._sources) > 1:
+            # Fair between sources: the one that holds most without asking gives first. Sorting is stable.
+            count = self._sources
+            old.sort(key=lambda guest: -count[self._guests[guest].source])
+        return [Close(guest, Reason.SILENT, cut) for guest in old[:most]]
+
+    def _halves(self, now: float, most: int, cut: bool) -> list[Close]:
+        old = self._older(self._half, now, HALF_GRACE_MS, most)
+        return [Close(guest, Reason.HALF, False) for guest in old]
+
+    def _quiet_ones(self, now: float, most: int, cut: bool) -> list[Close]:
+        """Longest quiet first, where a group that seldom asks again counts as quiet for longer."""
+        found: list[tuple[float, int, Hashable]] = []
+        for number, line in enumerate(self._quiet):
+            weight = 1.05 - self._habits[number].share
+            for guest in self._older(line, now, SETTLE_MS, most):
+                found.append((-(now - self._guests[guest].since_ms) * weight, len(found), guest))
+        found.sort()
+        # A cut throws away what the client has not read yet: only where its answer has long been there.
+        return [
+            Close(guest, Reason.ROOM, cut and now - self._guests[guest].since_ms >= PRESSED_LINGER_MS)
+            for _, _, guest in found[:most]
+        ]
--- /dev/null
+++ b/cloverwell/connections/stale.py
@@ -0,0 +1,150 @@
+"""After how much idle time a box has closed a connection without a word: learnt from the legs themselves.
+
+Each leg that is written to a connection that had stood idle for some time says something: it is answered
+(the connection lived at that age), or it is reset at once (it did not). Where the share of the latter jumps
+from one age on, that age is the limit. Resets that befall young connections alike are not this matter's:
+they lower the jump, not the limit.
+
+What one box shows counts for itself first, then for its kind (caches, or the origin), since boxes of a kind
+run the same software; a box that is seen to differ from its kind goes by itself. Evidence is forgotten, the
+slower the more often the same limit has been found again, so that a box that changes its mind is noticed.
+"""
+
+import math
+from bisect import bisect_right
+
+# Ages in ms; each step is about a quarter. What is older counts as the last.
+EDGES = (0, 8, 16, 25, 35, 45, 60, 80, 100, 125, 150, 190, 240, 300, 370, 460, 580, 720, 900)
+EDGES += (1130, 1400, 1750, 2200, 2750, 3400, 4300, 5400, 6700, 8400, 10500, 13000, 16500, 20500)
+EDGES += (25500, 32000, 40000, 50000, 62000, 78000, 98000, 122000)
+EVIDENCE = 3.0  # log-likelihood by which a step must beat no step
+JUMP = 0.10  # by which the share of stale ones must rise there
+YOUNG = (1.0, 30.0)  # resets and legs that are assumed before anything is seen
+HALF_LIFE_MS = (30_000.0, 960_000.0)  # of the evidence: at first, and at the most
+PROVEN = 4.0  # so many answered legs at that age or older show that connections live so long
+KIND_WEIGHT = 0.25  # of a leg at another box of the kind, as proof for this one
+MARGIN = 0.85  # of the limit, which lies anywhere in its step and is not the same for each connection
+
+
+def bucket(age_ms: float) -> int:
+    return max(0, bisect_right(EDGES, age_ms) - 1)
+
+
+def _log_like(bad: float, number: float) -> float:
+    """Log-likelihood of `bad` in `number` at their own share."""
+    if bad <= 0.0 or bad >= number:
+        return 0.0
+    share = bad / number
+    return bad * math.log(share) + (number - bad) * math.log(1.0 - share)
+
+
+class Ages:
+    """Legs by the idle age of their connection: how many, and how many of them were reset at once."""
+
+    __slots__ = ("_bad", "_found", "_good", "_half_life_ms", "_turned_ms", "limit_ms")
+
+    def __init__(self, now: float) -> None:
+        self._good = [0.0] * len(EDGES)
+        self._bad = [0.0] * len(EDGES)
+        self._half_life_ms = HALF_LIFE_MS[0]
+        self._turned_ms = now
+        self._found = 0.0  # the limit that was found last, though its evidence may be forgotten
+        self.limit_ms = math.inf
+
+    def learn(self, age_ms: float, stale: bool, now: float) -> None:
+        self.forget(now)
+        (self._bad if stale else self._good)[bucket(age_ms)] += 1.0
+        # An answered leg moves the limit only where one stands below its age.
+        if stale or age_ms >= self.limit_ms:
+            self._find()
+
+    def forget(self, now: float) -> None:
+        """Halves the evidence every half-life, in eighths."""
+        step = self._half_life_ms / 8.0
+        if now - self._turned_ms < step:
+            return
+        factor = 0.5 ** min(8.0, (now - self._turned_ms) / self._half_life_ms)
+        self._turned_ms = now
+        self._good = [value * factor for value in self._good]
+        self._bad = [value * factor for value in self._bad]
+        self._find()
+
+    def proof(self, age_ms: float) -> float:
+        """Answered legs whose connections were so old or older."""
+        return sum(self._good[bucket(age_ms) :])
+
+    def _find(self) -> None:
+        """The step that explains the resets best, if any does: its edge is the limit."""
+        good, bad = sum(self._good), sum(self._bad)
+        number = good + bad
+        none = _log_like(bad + YOUNG[0], number + YOUNG[1])
+        best, limit = EVIDENCE, math.inf
+        old_bad = old_number = 0.0
+        for place in range(len(EDGES) - 1, 0, -1):
+            old_bad += self._bad[place]
+            old_number += self._bad[place] + self._good[place]
+            if not self._bad[place]:
+                continue
+            young_bad, young_number = bad - old_bad + YOUNG[0], number - old_number + YOUNG[1]
+            if old_bad / old_number < young_bad / young_number + JUMP:
+                continue
+            gain = _log_like(young_bad, young_number) + _log_like(old_bad, old_number) - none
+            if gain > best:
+                best, limit = gain, float(EDGES[place])
+        if limit < math.inf and self.limit_ms == math.inf:
+            # Found again where it was: it has not changed its mind, so the next look may be later.
+            near = self._found and 0.5 <= limit / self._found <= 2.0
+            longer = 2.0 * self._half_life_ms if near else HALF_LIFE_MS[0]
+            self._half_life_ms = min(longer, HALF_LIFE_MS[1])
+            self._found = limit
+        self.limit_ms = limit
+
+
+class Limits:
+    """The limit of each box, from its own legs and its kind's."""
+
+    def __init__(self, most_ms: float, now: float) -> None:
+        """`most_ms`: after that the settings promise no more, whatever is seen."""
+        self.most_ms = most_ms
+        self._boxes: dict[str, Ages] = {}
+        self._kinds: dict[str, Ages] = {}
+        self._now = now
+
+    def __len__(self) -> int:
+        return len(self._boxes)
+
+    def learn(self, box: str, kind: str, age_ms: float, stale: bool, now: float) -> None:
+        for table, name in ((self._boxes, box), (self._kinds, kind)):
+            if name not in table:
+                table[name] = Ages(now)
+            table[name].learn(age_ms, stale, now)
+
+    def forget(self, box: str) -> None:
+        """The box is gone."""
+        self._boxes.pop(box, None)
+
+    def limit_ms(self, box: str, kind: str) -> float:
+        """An idle connection that is older is of no use."""
+        own, kin = self._boxes.get(box), self._kinds.get(kind)
+        limit = math.inf
+        if own is not None and own.limit_ms < math.inf:
+            limit = own.limit_ms
+        elif kin is not None and kin.limit_ms < math.inf:
+            # A box that answers beyond its kind's limit is not like its kind.
+            differs = own is not None and own.proof(kin.limit_ms) >= PROVEN
+            limit = math.inf if differs else kin.limit_ms
+        return min(self.most_ms, MARGIN * limit)
+
+    def proven(self, box: str, kind: str, age_ms: float) -> bool:
+        """Connections of that age are known to live."""
+        own, kin = self._boxes.get(box), self._kinds.get(kind)
+        proof = own.proof(age_ms) if own is not None else 0.0
+        if proof < PROVEN and kin is not None:
+            proof += KIND_WEIGHT * kin.proof(age_ms)
+        return proof >= PROVEN
+
+    def tick(self, now: float) -> None:
+        """Forgets what is old."""
+        for table in (self._boxes, self._kinds):
+            for ages in table.values():
+                ages.forget(now)
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -115,7 +115,8 @@
             # The boxes drop a repeat for so long: one that waits for a connection must not leave after.
             write_by = min(write_by, authorisation.ran_ms + window)
         pool = self._pools.of(leg.box)
-        attempt = Attempt(leg, authorisation, write_by, self._ended, pool)
+        dear = f.never_twice(settings, authorisation.class_number)
+        attempt = Attempt(leg, authorisation, write_by, self._ended, pool, dear)
         authorisation.legs[leg.number] = attempt
         attempt.timer = self._wheel.not_before(now + leg.timeout_ms, lambda: self._timed_out(attempt))
         pool.start(attempt)
--- a/cloverwell/facade.py
+++ b/cloverwell/facade.py
@@ -233,3 +233,8 @@
     """How long after a leg that may have run a further one may leave; None where the class sets no limit."""
     cls = settings.classes[class_number]
     return cls.window_ms if cls.effect is Effect.KEYED else None
+
+
+def never_twice(settings: api.Settings, class_number: int) -> bool:
+    """Whether a leg that may have run forbids any other."""
+    return settings.classes[class_number].effect is Effect.UNSAFE
--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -55,13 +55,8 @@
         self._error = ""  # what is wrong with the command whose value is passed over
         self._errors = 0  # malformed commands in a row
         self._paused = False  # for a while, behind an error
-        self.asked = False  # it has sent a command that could be read
         self._begun = False  # a command has begun and is not whole
 
-    def connectionMade(self) -> None:
-        super().connectionMade()
-        self._side.opened(self)
-
     def dataReceived(self, data: bytes) -> None:
         if self.ended or self._lost:
             # Read on, so that the client reads its answer rather than a reset; but at no cost to the others.
@@ -94,7 +89,8 @@
         words = line.decode().split(" ")
         match words[0]:
             case "mn" if len(words) == 1:
-                self._errors, self.asked = 0, True
+                self._errors = 0
+                self._side.busy(self)
                 self._say(b"MN\r\n")
             case "mg":
                 self._read(words)
@@ -198,7 +194,7 @@
         return FAILED
 
     def _take(self, turn: Turn) -> None:
-        self._errors, self.asked = 0, True
+        self._errors = 0
         self._turns.append(turn)
         self._side.busy(self)
         if len(self._turns) >= AHEAD:
--- a/cloverwell/net/acquirer_side.py
+++ b/cloverwell/net/acquirer_side.py
@@ -1,131 +1,157 @@
-"""All clients' connections, within their part of the descriptors: who is let in, and who is let go."""
+"""All clients' connections: carries out what `connections.front` decides about them."""
 
-from collections import OrderedDict
+from collections.abc import Callable
 
 from twisted.internet.address import IPv4Address
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory
 
+from cloverwell.connections.budget import Budget, Side
+from cloverwell.connections.figures import Figures, What
+from cloverwell.connections.front import TURN, Close, Front, Reason
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.log import Log
 from cloverwell.net.acquirer import Acquirer
 from cloverwell.wheel import Wheel
 from olivestair.api import Settings
 
-SWEEP_MS = 100.0
-QUIET_MS = 1900.0  # a connection that has asked nothing, or half of it, is closed: with a sweep under 2 s
-KEEP_MS = 10_000.0  # one that has asked before is kept so long between requests while there is room,
-SPARE_SHARE = 0.5  # that is, while so much of the clients' part is free; else as one that has asked nothing
-PRESSED_MS = 250.0  # at the limit, one that has asked nothing for so long makes room
-OVERSHOOT = 4  # one turn of the loop may accept more than was asked for: the rest are closed
-LINGER_MS = 1000.0  # what a client may take to close its side once ours is closed
+SWEEP_MS = 50.0
 
 
 class AcquirerSide(Factory):
     noisy = False
 
     def __init__(
-        self, settings: Settings, dispatcher: Dispatcher, wheel: Wheel, log: Log, budget: int, most: int
+        self,
+        settings: Settings,
+        dispatcher: Dispatcher,
+        wheel: Wheel,
+        log: Log,
+        budget: Budget,
+        figures: Figures,
+        asking: int,
     ) -> None:
-        """Work is declined while more than `budget` connections have some open; `most` is for all of them."""
+        """`asking`: connections that clients open for requests, at the most."""
         self.port: IPushProducer | None = None  # that listens
         self.dispatcher = dispatcher
         self.wheel = wheel
         self.classes = {cls.name: place for place, cls in enumerate(settings.classes)}
         self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
         self.connections: set[Acquirer] = set()
+        self.front = Front(budget.most(Side.FRONT), asking, wheel.now())
         self._log = log
         self._budget = budget
-        self._most = most
+        self._figures = figures
         self._full = False
-        # Those with no open request, since when; the longest first.
-        self._quiet: OrderedDict[Acquirer, float] = OrderedDict()
-        self._closing: OrderedDict[Acquirer, float] = OrderedDict()  # our side is closed, since when
+        self.borrow: Callable[[], bool] = lambda: False  # asks the boxes' side for a descriptor
         self._sweep()
 
+    # Who is let in ----------------------------------------------------------------------------
+
+    def may_accept(self) -> int:
+        """So many connections may be accepted now, in one turn of the loop."""
+        return min(TURN, self._budget.room(Side.FRONT))
+
     def buildProtocol(self, addr: IPv4Address) -> Acquirer | None:
-        if len(self.connections) >= self._most + OVERSHOOT:
+        # The port asks `may_accept`; a listener that does not is held to the budget here.
+        if not self._budget.room(Side.FRONT):
             return None
-        return Acquirer(self)
-
-    def opened(self, connection: Acquirer) -> None:
+        connection = Acquirer(self)
+        self._budget.take(Side.FRONT)
         self.connections.add(connection)
-        self._quiet[connection] = self.wheel.now()
-        if len(self.connections) >= self._most and not self._make_room() and not self._full:
-            self._log.warn("accept", f"no more than {self._most} connections of clients fit")
+        self._figures.add(What.ADMITTED)
+        self.front.opened(connection, self.wheel.now(), getattr(addr, "host", ""))
+        self._keep_room()
+        return connection
+
+    def closed(self, connection: Acquirer) -> None:
+        if connection in self.connections:
+            self.connections.discard(connection)
+            self._budget.give_back(Side.FRONT)
+            self.front.closed(connection)
+            self._go_on()
+
+    def _keep_room(self) -> None:
+        """Some of the descriptors stay free for the next to come."""
+        now = self.wheel.now()
+        if closes := self.front.for_asking(now):
+            self._close(closes, len(closes))
+        room = self._budget.room(Side.FRONT)
+        wanted = self.front.reserve(now) - room
+        if wanted > 0:
+            self._close(self.front.for_room(now, wanted, room), wanted)
+        if not self._budget.room(Side.FRONT) and self._budget.lender(Side.FRONT):
+            self.borrow()
+        if not self._full and not self._budget.room(Side.FRONT):
+            self._log.warn("accept", f"{len(self.connections)} connections of clients fill their part")
+            self._figures.add(What.PAUSED)
             self._full = True
             if self.port is not None:
                 self.port.pauseProducing()
 
-    def closed(self, connection: Acquirer) -> None:
-        self.connections.discard(connection)
-        self._quiet.pop(connection, None)
-        self._closing.pop(connection, None)
-        self._go_on()
-
     def _go_on(self) -> None:
-        if self._full and len(self.connections) < self._most:
+        if self._full and self._budget.room(Side.FRONT):
             self._full = False
             if self.port is not None:
                 self.port.resumeProducing()
 
+    def crowded(self) -> bool:
+        """So many have requests open that new work is declined: an accept that fails would lose requests."""
+        if self.front.busy <= self._budget.work_cap:
+            return False
+        self._figures.add(What.DECLINED)
+        return True
+
+    # What they do -----------------------------------------------------------------------------
+
     def busy(self, connection: Acquirer) -> None:
         """It has an open request."""
-        self._quiet.pop(connection, None)
+        self.front.asked(connection, self.wheel.now())
 
     def quiet(self, connection: Acquirer) -> None:
-        """It has none, from now on."""
-        if not connection.ended:
-            self._quiet[connection] = self.wheel.now()
-            self._quiet.move_to_end(connection)
+        """It has none, from now on; perhaps a part of one."""
+        self.front.quiet(connection, self.wheel.now(), connection.halfway)
 
     def closing(self, connection: Acquirer) -> None:
         """Our side is closed: the descriptor must come free though the client never closes."""
-        self._quiet.pop(connection, None)
-        self._closing[connection] = self.wheel.now()
-
-    def crowded(self) -> bool:
-        """So many have requests open that new work is declined: an accept that fails would lose requests."""
-        return len(self.connections) - len(self._quiet) - len(self._closing) > self._budget
+        self.front.closing(connection, self.wheel.now())
 
     # Who is let go ----------------------------------------------------------------------------
 
     def _sweep(self) -> None:
         now = self.wheel.now()
         self.wheel.at(now + SWEEP_MS, self._sweep)
-        scarce = len(self.connections) > (1.0 - SPARE_SHARE) * self._budget
-        for connection, since in list(self._quiet.items()):
-            if now - since < QUIET_MS:
-                break
-            kept = now - since >= KEEP_MS
-            if kept and connection.unread:  # no request has so much time: nobody waits for that answer
-                connection.end(abort=True)
-            elif kept or scarce or not connection.asked or connection.halfway:
-                connection.time_out()
-        for connection, since in list(self._closing.items()):
-            if now - since < LINGER_MS:
-                break
-            self._cut_off(connection)
-        # None may have been at hand when the limit was reached.
-        if self._full and self._make_room():
-            self._go_on()
-
-    def _cut_off(self, connection: Acquirer) -> None:
-        self._closing.pop(connection, None)
-        connection.transport.abortConnection()
+        overdue = self.front.overdue(now)
+        self._close(overdue, len(overdue))
+        self._keep_room()
+        self._go_on()
 
-    def _make_room(self) -> bool:
-        """The one that has been quiet longest goes, first of those that have asked nothing."""
-        now = self.wheel.now()
-        if self._closing:
-            self._cut_off(next(iter(self._closing)))
-            return True
-        old = [connection for connection, since in self._quiet.items() if now - since >= PRESSED_MS]
-        for connection in sorted(old, key=lambda one: one.asked):
-            if connection.time_out():
-                self._cut_off(connection)
-                return True
-        return False
+    def _close(self, closes: list[Close], wanted: int) -> None:
+        for close in closes:
+            if not wanted:
+                return
+            connection = close.guest
+            if close.reason is Reason.LINGER:
+                done = True
+                connection.transport.abortConnection()
+            elif close.reason is Reason.IDLE and connection.unread:
+                done = True  # no request has so much time: nobody waits for that answer
+                connection.end(abort=True)
+            elif done := connection.time_out():
+                if close.cut:
+                    connection.transport.abortConnection()
+            else:
+                self.front.spare(connection, self.wheel.now())
+            if done:
+                wanted -= 1
+                self._figures.add(What.CLOSED_FRONT, close.reason.value)
+            else:
+                self._figures.add(What.SPARED)
+
+    def lend(self) -> None:
+        """The boxes' side wants a descriptor that is held here beyond the floor."""
+        if self._budget.lender(Side.BACK):
+            self._close(self.front.for_room(self.wheel.now(), 1, 0), 1)
 
     def let_go(self, cut: bool = False) -> None:
         """Each that is between requests; `cut`: also one in the middle of a command."""
--- a/cloverwell/net/origin_leg.py
+++ b/cloverwell/net/origin_leg.py
@@ -10,8 +10,8 @@
 
 
 class OriginConnection(HttpReceiver, BoxConnection):
-    def __init__(self, pool: Pool) -> None:
-        BoxConnection.__init__(self, pool)
+    def __init__(self, pool: Pool, asked_ms: float) -> None:
+        BoxConnection.__init__(self, pool, asked_ms)
         self._reset()
 
     def command(self, attempt: Attempt) -> bytes:
--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -1,4 +1,4 @@
-"""The connections to each box, and the legs that wait for one.
+"""The connections to each box, and the legs that wait for one: carries out what `connections.back` decides.
 
 A leg takes an idle connection, the one used last; else one more is opened, and whichever comes free first
 takes it. Only at the caps are legs written behind others: one that is behind waits for those before it, and
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 
 from twisted.internet.address import IPv4Address
@@ -16,25 +16,36 @@
 from twisted.python.failure import Failure
 
 from cloverwell.authorisation import Attempt
+from cloverwell.connections.back import Back, Use
+from cloverwell.connections.budget import Budget, Side
+from cloverwell.connections.figures import Figures, What
 from cloverwell.facade import Outcome
 from cloverwell.log import Log
 from cloverwell.net.lines import PEEK, RingLineReceiver
-from cloverwell.wheel import Wheel
+from cloverwell.wheel import Timer, Wheel
 
-IDLE_SHARE = 0.5  # of the time after which the box closes an idle connection: ours are closed well before
-SWEEP_MS = 100.0
+SWEEP_MS = 50.0
 STALL_MS, STALL_LOOKS = 25.0, 4  # an answer that has begun and does not go on for so many looks is given up
 MAX_WAITING = 256  # legs that wait for a connection to one box
+FRESH_MS = 10.0  # one that came up so lately has not stood idle
+AHEAD_ROOM = 0.1  # of the descriptors: so many stay free when connections are opened ahead
+MAX_MOVES = 4  # connections that one leg may find closed before its last byte
 
 
 class BoxConnection(RingLineReceiver):
     """A connection to a box: its legs in order, each ended by the answer whose turn it is."""
 
-    def __init__(self, pool: Pool) -> None:
+    def __init__(self, pool: Pool, asked_ms: float) -> None:
         super().__init__()
         self._pool = pool
         self.legs: deque[Attempt] = deque()
+        self.asked_ms = asked_ms  # when it was asked for
         self.idle_since_ms = 0.0
+        self.served = False  # a leg has ended on it
+        self._age_ms: float | None = None  # how long it had stood idle before its oldest leg
+        self._first_ms = 0.0  # when that leg's first byte was written
+        # A leg of which all but the last byte is written: it has not run, and can't yet.
+        self._split: tuple[Attempt, bytes, Timer] | None = None
 
     def command(self, attempt: Attempt) -> bytes:
         """The bytes of an attempt."""
@@ -44,14 +55,46 @@
         super().connectionMade()
         self._pool.opened(self)
 
-    def send(self, attempt: Attempt) -> bool:
+    @property
+    def free(self) -> bool:
+        return not (self.ended or self.legs or self._split)
+
+    def age_ms(self, now: float) -> float | None:
+        """How long it has stood idle; None on a fresh one."""
+        age = now - self.idle_since_ms
+        return age if self.served or age > FRESH_MS else None
+
+    def send(self, attempt: Attempt, use: Use = Use.WHOLE) -> bool:
         """False if not a byte has been handed over."""
-        if (attempt.authorisation.write and self._spoilt()) or not self.put(self.command(attempt)):
+        data = self.command(attempt)
+        rest = data[-1:] if use is Use.SPLIT else b""
+        if (attempt.authorisation.write and self._spoilt()) or not self.put(data[:-1] if rest else data):
             return False
-        attempt.written_ms = self._pool.now()
-        self.legs.append(attempt)
+        now = self._pool.now()
+        if not self.legs:
+            self._age_ms, self._first_ms = self.age_ms(now), now
+        if rest:
+            wait = self._pool.hold_ms()
+            self._split = (attempt, rest, self._pool.later(now + wait, self._write_rest))
+        else:
+            attempt.written_ms = now
+            self.legs.append(attempt)
         return True
 
+    def _write_rest(self) -> None:
+        """No reset has come: the box is there, and the leg may run."""
+        attempt, rest, _ = self._split
+        self._split = None
+        if self._pool.now() > attempt.write_by_ms:
+            self.drop(Outcome.RESET)
+            attempt.end(Outcome.NOT_CONNECTED)
+        elif self._spoilt() or not self.put(rest):
+            self.drop(Outcome.RESET)
+            self._pool.move(attempt)
+        else:
+            attempt.written_ms = self._pool.now()
+            self.legs.append(attempt)
+
     def _spoilt(self) -> bool:
         """The box has closed it, or sent what no leg is owed: a write would be reset, perhaps for good."""
         try:
@@ -65,6 +108,8 @@
     def finish_leg(self, outcome: Outcome, body: bytes = b"") -> None:
         """The oldest leg has its answer."""
         attempt = self.legs.popleft()
+        self._pool.answered(self._age_ms)
+        self._age_ms, self.served = None, True
         if not self.legs and self.unparsed:
             # A second copy or noise behind a good answer would be read as the answer of the next leg.
             self._pool.log.info("answer", f"more than the answer came from {self._pool.box}")
@@ -86,6 +131,20 @@
         self._pool.log.warn("answer", f"malformed answer of {self._pool.box}: {reason}")
         self.drop(Outcome.RESET)
 
+    def give_up(self, attempt: Attempt, outcome: Outcome) -> bool:
+        """Ends that leg and with it the connection; False if the leg is not here."""
+        if self._split is not None and self._split[0] is attempt:
+            self._split[2].cancel()
+            self._split = None
+            self.drop(outcome)
+            # Without its last byte it can't have run: to call it off, or time it out, leaves nothing.
+            attempt.end(Outcome.NOT_CONNECTED if outcome is Outcome.TIMED_OUT else outcome)
+            return True
+        if attempt in self.legs:
+            self.drop(outcome, attempt)
+            return True
+        return False
+
     def drop(self, outcome: Outcome, of: Attempt | None = None) -> None:
         """Ends the connection and each of its legs: `of` by that outcome, the others by a reset."""
         legs, self.legs = self.legs, deque()
@@ -93,13 +152,25 @@
         self._pool.lost(self)
         for attempt in legs:
             attempt.end(outcome if attempt is of else Outcome.RESET)
+        self._go_elsewhere()
+
+    def _go_elsewhere(self) -> None:
+        if self._split is not None:
+            (attempt, _, timer), self._split = self._split, None
+            timer.cancel()
+            self._pool.move(attempt)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        by_box = not self.ended
         super().connectionLost(reason)
         legs, self.legs = self.legs, deque()
+        if by_box:
+            after = self._pool.now() - self._first_ms if legs or self._split else None
+            self._pool.broken(self._age_ms, after, self in self._pool.begun, self._split is not None)
         self._pool.lost(self)
         for attempt in legs:
             attempt.end(Outcome.RESET)
+        self._go_elsewhere()
 
 
 class _Opener(ClientFactory):
@@ -107,9 +178,10 @@
 
     def __init__(self, pool: Pool) -> None:
         self._pool = pool
+        self._asked_ms = pool.now()
 
     def buildProtocol(self, addr: IPv4Address) -> BoxConnection:
-        return self._pool.build()
+        return self._pool.build(self._asked_ms)
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         self._pool.failed()
@@ -120,11 +192,14 @@
 
     def __init__(self, pools: Pools, box: str, origin: bool) -> None:
         self._pools = pools
+        self._back = pools.back
+        self._figures = pools.figures
         self.box = box
         self.origin = origin
         self.address: tuple[str, int] | None = None
         self.log = pools.log
         self.now = pools.wheel.now
+        self.later = pools.wheel.not_before
         self.connections: list[BoxConnection] = []
         self.idle: list[BoxConnection] = []  # used last at the end
         self.opening = 0
@@ -132,18 +207,37 @@
         self.begun = pools.begun
         self._waiting: deque[Attempt] = deque()
 
-    def build(self) -> BoxConnection:
-        return self._pools.build(self)
+    def build(self, asked_ms: float) -> BoxConnection:
+        return self._pools.build(self, asked_ms)
+
+    @property
+    def held(self) -> int:
+        return len(self.connections) + self.opening
+
+    # Legs --------------------------------------------------------------------------------------
 
     def start(self, attempt: Attempt) -> None:
-        if self.address is None:
+        now = self.now()
+        if self.address is None or self._back.late(self.box, now):
             attempt.end(Outcome.NOT_CONNECTED)
             return
+        self._back.started(self.box, len(self.connections) - len(self.idle) + 1, now)
+        self._place(attempt)
+
+    def move(self, attempt: Attempt) -> None:
+        """Its connection was closed before its last byte: it goes to another."""
+        attempt.moves += 1
+        if attempt.over:
+            return
+        if attempt.moves > MAX_MOVES or self._back.late(self.box, self.now()):
+            attempt.end(Outcome.NOT_CONNECTED)
+        else:
+            self._place(attempt)
+
+    def _place(self, attempt: Attempt) -> None:
         while self.idle:
-            connection = self.idle.pop()
-            if connection.send(attempt):
+            if self._hand_to(self._pop_idle(), attempt):
                 return
-            connection.drop(Outcome.RESET)
         if self._pools.may_open(self):
             self._wait(attempt)
             if self.opening < len(self._waiting):
@@ -153,11 +247,25 @@
         if not shared or not min(shared, key=lambda c: len(c.legs)).send(attempt):
             self._wait(attempt)
 
+    def _hand_to(self, connection: BoxConnection, attempt: Attempt) -> bool:
+        age = connection.age_ms(self.now())
+        use = self._back.use(self.box, age, attempt.dear)
+        if use is Use.RETIRE:
+            self.retire(connection)
+            return False
+        if not connection.send(attempt, use):
+            connection.drop(Outcome.RESET)
+            return False
+        if age is not None:
+            self._figures.add(What.REUSED, self.box)
+        return True
+
     def _may_share(self, connection: BoxConnection, attempt: Attempt) -> bool:
         # Giving up one leg resets all behind it, and an order that is reset may never be sent again.
         legs = [attempt, *connection.legs]
         return (
             not connection.ended
+            and bool(connection.legs)
             and len(legs) <= self._pools.legs_each
             and not any(leg.authorisation.write for leg in legs)
         )
@@ -171,11 +279,31 @@
         self._pools.wheel.at(attempt.write_by_ms, lambda: self._unheard(attempt))
 
     def _unheard(self, attempt: Attempt) -> None:
-        if attempt.written_ms is None and not attempt.over:
+        if attempt.written_ms is None and not attempt.over and attempt in self._waiting:
             self.give_up(attempt, Outcome.NOT_CONNECTED)
 
+    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+        if attempt.over:
+            return
+        if attempt in self._waiting:
+            self._waiting.remove(attempt)
+            # Not a byte of it was written: to call it off, or time it out, leaves nothing that may have run.
+            attempt.end(Outcome.NOT_CONNECTED if outcome is Outcome.TIMED_OUT else outcome)
+            return
+        if not any(connection.give_up(attempt, outcome) for connection in list(self.connections)):
+            attempt.end(outcome)
+
+    def answered(self, age_ms: float | None) -> None:
+        self._back.answered(self.box, age_ms, self.now())
+
+    def hold_ms(self) -> float:
+        return self._back.hold_ms(self.box)
+
+    # Connections -------------------------------------------------------------------------------
+
     def _open(self) -> None:
         self.opening += 1
+        self._pools.budget.take(Side.BACK)
         host, port = self.address
         timeout = self._pools.connect_timeout_ms / 1000.0
         self._pools.reactor.connectTCP(host, port, _Opener(self), timeout=timeout)
@@ -183,63 +311,83 @@
     def failed(self) -> None:
         """A connection could not be made: the leg that has waited longest ends, others have their own."""
         self.opening -= 1
+        self._pools.budget.give_back(Side.BACK)
+        self._figures.add(What.REFUSED, self.box)
+        self._back.refused(self.box, len(self.connections), self.now())
         if self._waiting and len(self._waiting) > self.opening:
             self._waiting.popleft().end(Outcome.NOT_CONNECTED)
 
     def opened(self, connection: BoxConnection) -> None:
         self.opening -= 1
         self.connections.append(connection)
-        connection.idle_since_ms = self.now()
+        now = connection.idle_since_ms = self.now()
+        self._figures.add(What.OPENED, self.box)
+        self._back.connected(self.box, now - connection.asked_ms)
         self.freed(connection)
 
     def freed(self, connection: BoxConnection) -> None:
         """A connection has no leg, or one less: the leg that has waited longest takes it."""
-        if connection.ended or connection.legs:
+        if not connection.free:
             return
         while self._waiting:
             attempt = self._waiting.popleft()
-            if connection.send(attempt):
-                return
-            connection.drop(Outcome.RESET)
-            self.start(attempt)
+            if not self._hand_to(connection, attempt):
+                self.start(attempt)
             return
         if self.left:
             connection.drop(Outcome.RESET)
         else:
             self.idle.append(connection)
+            self._pools.idle[connection] = self
+
+    def _pop_idle(self) -> BoxConnection:
+        connection = self.idle.pop()
+        del self._pools.idle[connection]
+        return connection
+
+    def retire(self, connection: BoxConnection) -> None:
+        self._figures.add(What.RETIRED, self.box)
+        connection.drop(Outcome.RESET)
+
+    def broken(self, age_ms: float | None, after_ms: float | None, begun: bool, caught: bool) -> None:
+        """The box ended a connection: an idle one, or so long after the first byte of a leg."""
+        if after_ms is None:
+            self._figures.add(What.CLOSED, self.box)
+            return
+        what = What.CAUGHT if caught else What.STALE if age_ms is not None and not begun else What.RESET
+        self._figures.add(what, self.box)
+        self._back.lost(self.box, age_ms, after_ms, begun, self.now())
 
     def lost(self, connection: BoxConnection) -> None:
         self.begun.pop(connection, None)
         if connection in self.connections:
             self.connections.remove(connection)
-        if connection in self.idle:
+            self._pools.budget.give_back(Side.BACK)
+        if self._pools.idle.pop(connection, None) is not None:
             self.idle.remove(connection)
 
-    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
-        if attempt.over:
-            return
-        if attempt in self._waiting:
-            self._waiting.remove(attempt)
-            # Not a byte of it was written: to call it off, or time it out, leaves nothing that may have run.
-            attempt.end(Outcome.NOT_CONNECTED if outcome is Outcome.TIMED_OUT else outcome)
-            return
-        for connection in self.connections:
-            if attempt in connection.legs:
-                connection.drop(outcome, attempt)
-                return
-        attempt.end(outcome)
-
     @property
     def unused(self) -> bool:
         return not (self.connections or self.opening or self._waiting)
 
     def hang_up(self) -> None:
         for connection in list(self.idle):
-            connection.drop(Outcome.RESET)
-
-    def sweep(self, before_ms: float) -> None:
-        for connection in [c for c in self.idle if c.idle_since_ms < before_ms]:
-            connection.drop(Outcome.RESET)
+            self.retire(connection)
+
+    def sweep(self, now: float) -> None:
+        """Retires what is too old, and opens what will be needed or is waited for."""
+        limit = self._back.idle_limit_ms(self.box)
+        while self.idle and now - self.idle[0].idle_since_ms >= limit:
+            self.retire(self.idle[0])
+        while len(self._waiting) > self.opening and self._pools.may_open(self):
+            self._open()
+
+    def open_ahead(self, now: float) -> None:
+        for _ in range(self._back.ahead(self.box, self.held, now)):
+            if not self._pools.spare_room():
+                return
+            self._figures.add(What.AHEAD, self.box)
+            self._open()
 
 
 class Pools:
@@ -250,21 +398,25 @@
         reactor: IReactorTCP,
         wheel: Wheel,
         log: Log,
-        build: Callable[[Pool], BoxConnection],
-        budget: int,
+        build: Callable[[Pool, float], BoxConnection],
+        budget: Budget,
+        back: Back,
+        figures: Figures,
         legs_each: int,
         connect_timeout_ms: float,
-        idle_close_ms: float,
     ) -> None:
         self.reactor = reactor
         self.wheel = wheel
         self.log = log
         self.build = build
         self.budget = budget
+        self.back = back
+        self.figures = figures
         self.legs_each = legs_each
         self.connect_timeout_ms = connect_timeout_ms
-        self._idle_ms = IDLE_SHARE * idle_close_ms
+        self.borrow: Callable[[], None] = lambda: None  # asks the clients' side for a descriptor
         self._pools: dict[str, Pool] = {}
+        self.idle: OrderedDict[BoxConnection, Pool] = OrderedDict()  # of all boxes, longest idle first
         self.begun: dict[BoxConnection, int] = {}  # part of an answer is there: looks since more of it came
         self._sweep()
         self._look_for_stalls()
@@ -279,12 +431,17 @@
         self.wheel.not_before(self.wheel.now() + STALL_MS, self._look_for_stalls)
 
     def _sweep(self) -> None:
-        before = self.wheel.now() - self._idle_ms
+        now = self.wheel.now()
         for box, pool in list(self._pools.items()):
-            pool.sweep(before)
-            if pool.left and pool.unused:  # successors have new names: the pools of the gone would gather
+            pool.sweep(now)
+            if not pool.left:
+                pool.open_ahead(now)
+            elif pool.unused:  # successors have new names: the pools of the gone would gather
                 del self._pools[box]
-        self.wheel.at(self.wheel.now() + SWEEP_MS, self._sweep)
+                self.back.forget(box)
+                self.figures.forget(box)
+        self.back.limits.tick(now)
+        self.wheel.at(now + SWEEP_MS, self._sweep)
 
     def of(self, box: str) -> Pool:
         if box not in self._pools:  # it left while its choice was on the way: a failure to connect
@@ -295,12 +452,13 @@
     def names(self) -> set[str]:
         return set(self._pools)
 
-    def name(self, box: str, host: str, port: int, origin: bool) -> None:
+    def name(self, box: str, host: str, port: int, origin: bool, cold_until_ms: float) -> None:
         """A box that the routing table names, with its address as it is now."""
         pool = self._pools.get(box)
         if pool is None:
             pool = self._pools[box] = Pool(self, box, origin)
         pool.left = False
+        self.back.named(box, "origin" if origin else "cache", cold_until_ms)
         if pool.address != (host, port):
             pool.hang_up()
             pool.address = (host, port)
@@ -314,14 +472,25 @@
         """The box drains or is gone: a connection that falls idle from now on is of no more use."""
         if (pool := self._pools.get(box)) is not None:
             pool.left = True
+            self.back.left(box, self.wheel.now())
             pool.hang_up()
 
     def may_open(self, pool: Pool) -> bool:
-        """Within the budget; an idle connection of another box makes room."""
-        held = sum(len(p.connections) + p.opening for p in self._pools.values())
-        if held < self.budget:
-            return True
-        idle = [c for p in self._pools.values() for c in p.idle]
-        if idle:
-            min(idle, key=lambda c: c.idle_since_ms).drop(Outcome.RESET)
-        return bool(idle)
+        """Within the box's cap and the budget; an idle connection of another box makes room."""
+        if not self.back.may_open(pool.box, pool.held, self.wheel.now()):
+            return False
+        if not self.budget.room(Side.BACK) and not self.lend():
+            self.borrow()
+        return self.budget.room(Side.BACK) > 0
+
+    def lend(self) -> bool:
+        """Closes the connection that has been idle longest."""
+        if not self.idle:
+            return False
+        connection, pool = next(iter(self.idle.items()))
+        pool.retire(connection)
+        return True
+
+    def spare_room(self) -> bool:
+        """Whether one may be opened that no leg waits for: not with the last descriptors."""
+        return self.budget.room(Side.BACK) > AHEAD_ROOM * self.budget.total
--- a/cloverwell/net/routing_table.py
+++ b/cloverwell/net/routing_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -96,7 +97,9 @@
         entries = tuple(self._entry(member) for member in listing.members)
         for entry, (host, port) in zip(entries, addresses, strict=True):
             if entry.state is ServerState.READY:
-                self._pools.name(entry.server, host, port, entry.kind == self._settings.origin_kind)
+                origin = entry.kind == self._settings.origin_kind
+                cold_until = entry.started_ms + self._settings.warm_up_ms if entry.started_ms else -math.inf
+                self._pools.name(entry.server, host, port, origin, cold_until)
         self._revision = listing.revision
         self.tell(News(listing.revision, listing.complete, entries, held))
         # Told that a box drains, nothing new may go there: its idle connections are of no more use.
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -4,6 +4,9 @@
 from dataclasses import replace
 
 from cloverwell.config import Config, ConfigError
+from cloverwell.connections.back import Back
+from cloverwell.connections.budget import Budget
+from cloverwell.connections.figures import Figures, What
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.facade import Facade
 from cloverwell.log import Log
@@ -15,17 +18,22 @@
 from cloverwell.wheel import Wheel
 
 TICK_MS = 5.0
-SPARE_DESCRIPTORS = 32  # standard streams, the reactor's own, discovery, and some to accept and decline with
-OVER_BUDGET = 12  # of the spare ones: clients' connections that are held and declined
-CLIENT_SHARE = 0.6  # of the other descriptors
+SPARE_DESCRIPTORS = 24  # standard streams, the reactor's own, discovery, and what is closed but not yet free
+ASKING_SHARE = 1.0 / 3.0  # of all descriptors: the platform's clients open no more connections for requests
+IDLE_SHARE = 0.5  # of the time after which a box closes an idle connection: ours are closed well before
+DRAIN_GRACE_MS = 950.0  # after a box leaves, connections to it may still be opened for so long
 BACKLOG = 512
 ACCEPT_MS = 500.0  # after SIGTERM clients may not have heard yet: new connections are taken for so long
 LINGER_MS = 500.0  # what the last answers may take to leave
 CLOSE_MS = 750.0  # and what comes on open ones is answered for longer than they may still be used
 
 
-def build(pool: Pool) -> BoxConnection:
-    return OriginConnection(pool) if pool.origin else CacheConnection(pool)
+def build(pool: Pool, asked_ms: float) -> BoxConnection:
+    return OriginConnection(pool, asked_ms) if pool.origin else CacheConnection(pool, asked_ms)
+
+
+def _listen(reactor, host: str, port: int, factory: AcquirerSide, backlog: int):
+    return reactor.listenTCP(port, factory, backlog=backlog, interface=host)
 
 
 class Service:
@@ -37,37 +45,42 @@
         self._config = config
         self._log = log
         self.wheel = Wheel(reactor, settings.granularity_ms, now)
-        usable = config.limits.sockets - SPARE_DESCRIPTORS
-        clients = int(CLIENT_SHARE * usable)
+        self.figures = Figures()
+        self.budget = Budget(config.limits.sockets - SPARE_DESCRIPTORS)
+        self.back = Back(IDLE_SHARE * settings.idle_close_ms, DRAIN_GRACE_MS, self.wheel.now())
         self.pools = Pools(
             reactor,
             self.wheel,
             log,
             build,
-            usable - clients,
+            self.budget,
+            self.back,
+            self.figures,
             settings.legs_per_connection,
             settings.connect_timeout_ms,
-            settings.idle_close_ms,
         )
         self.dispatcher = Dispatcher(Facade(settings, config.seed, now), self.wheel, self.pools, log)
         self.table = RoutingTable(reactor, self.wheel, settings, self.pools, log, config.discovery, epoch_ms)
         self.table.tell = self.dispatcher.news
         self.dispatcher.watch = self.table.watch
-        most = clients + OVER_BUDGET
-        self.side = AcquirerSide(settings, self.dispatcher, self.wheel, log, clients, most)
+        asking = int(ASKING_SHARE * config.limits.sockets)
+        self.side = AcquirerSide(
+            settings, self.dispatcher, self.wheel, log, self.budget, self.figures, asking
+        )
+        # Either side that finds no room asks the other to close what is idle beyond its floor.
+        self.pools.borrow = self.side.lend
+        self.side.borrow = self.pools.lend
         self._port = None
         self._draining = False
         self._linger_until_ms = 0.0
         self._cut_ms = 0.0
 
-    def start(self) -> None:
+    def start(self, listen: Callable = _listen) -> None:
         """Listens only when the list is known: who connects is served."""
         self.wheel.start()
         self.table.start(self._config.known)
         host, port = self._config.listen
-        self._port = self.side.port = self._reactor.listenTCP(
-            port, self.side, backlog=BACKLOG, interface=host
-        )
+        self._port = self.side.port = listen(self._reactor, host, port, self.side, BACKLOG)
         self._log.info("start", f"{self._config.name or 'proxy'} serves on {host}:{port}")
 
     def reload(self, read: Callable[[], Config]) -> None:
@@ -110,5 +123,6 @@
             self.wheel.at(now + self.wheel.granularity_ms, self._finish)
             return
         self.table.stop()
+        self._log.info("connections", self.figures.line(*What))
         self._log.info("stop", "all is answered")
         self._reactor.stop()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -18,7 +18,7 @@
 
 import msgspec
 from twisted.internet.address import IPv4Address
-from twisted.internet.error import ConnectionLost, ConnectionRefusedError
+from twisted.internet.error import ConnectionAborted, ConnectionLost, ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
@@ -57,6 +57,7 @@
 
 class Transport(StringTransport):
     aborted = shut = False
+    reactor = None
     unread = b""  # what the machine has not handed to the proxy yet
 
     def setTcpNoDelay(self, on):
@@ -65,6 +66,8 @@
     def abortConnection(self):
         self.aborted = True
         self.loseConnection()
+        if self.reactor is not None:  # as the real one: with the next turn of the loop
+            self.reactor.callLater(0, self.protocol.connectionLost, Failure(ConnectionAborted()))
 
     def loseWriteConnection(self):
         self.shut = True
@@ -160,7 +163,7 @@
             protocol = factory.buildProtocol(IPv4Address("TCP", "127.0.0.9", self.ports.get(name, 1)))
             transport = Transport()
             held.append((protocol, transport))
-            transport.protocol = protocol
+            transport.protocol, transport.reactor = protocol, self.reactor
             protocol.makeConnection(transport)
         return held[place]
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -8,6 +8,8 @@
 
 from cloverwell.__main__ import collect_garbage
 from cloverwell.authorisation import Authorisation
+from cloverwell.connections.budget import Budget, Side
+from cloverwell.connections.front import RESERVE
 from cloverwell.net.ring_buffer import SMALLEST
 
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
@@ -55,14 +57,16 @@
 def test_near_the_descriptor_limit_new_work_is_declined():
     # Guards against EMFILE: an accept that fails loses requests that the machine has taken.
     player = Player(sockets=64)
-    budget = player.service.side._budget
+    budget = player.service.budget.work_cap
     for place in range(1, budget + 1):
         player.play(f"client#{place} send ms k 1 O{place} Pc=order,t=acme,d=1900|a")
     player.play(f"client#{budget + 1} send mg k v Ox Pc=page,t=acme,d=900")
     player.play(f"client#{budget + 1} expect SERVER_ERROR busy 1000")
     # At the last descriptors no more connections are taken, until one closes.
     port = player.service.side.port = Transport()
-    for place in range(budget + 2, player.service.side._most + 1):
+    place = budget + 1
+    while player.service.budget.room(Side.FRONT):
+        place += 1
         player.play(f"client#{place} send ms k 9 Ow{place} Pc=order,t=acme,d=1900|a")
     assert port.producerState == "paused"
     player.play("client#1 close\nclient#2 close\nclient#3 close")
@@ -81,7 +85,8 @@
 def test_at_the_cap_reads_share_a_connection_and_an_order_never_does():
     # Giving up a leg closes its connection: an order behind a read would be reset, and could not go again.
     player = Player()
-    player.service.pools.budget = 2
+    player.service.pools.budget = Budget(5, 0.4, 0.4)
+    player.service.pools.budget.held[Side.FRONT] = 3
     player.play("client send mg k1 v O1 Pc=page,t=acme,d=900\ns1 expect mg *\ns1 send EN O1")
     player.play("origin expect GET /k1 *\nclient#2 send mg k2 v O2 Pc=page,t=acme,d=900\ns1 expect mg k2 *")
     player.play("client#3 send mg k3 v O3 Pc=page,t=acme,d=900\ns1 expect mg k3 *")
@@ -129,17 +134,26 @@
     # Hundreds that connect and say nothing must not shut out those that ask; their descriptors come free at
     # once, whether or not they ever close their side. One with an unread request is not closed.
     player = Player(sockets=64)
-    port, most = Transport(), player.service.side._most
-    player.service.side.port = port
+    port = player.service.side.port = Transport()
+    budget = player.service.budget
     player.play("client#1 send mn\nclient#1 expect MN\nclient#2 expect nothing\nclient#3 expect nothing")
     player.connection("client", 1)[1].unread = b"m"
-    player.play("wait 300")
-    for place in range(4, most + 1):
+    player.play("wait 500")
+    most, place = budget.most(Side.FRONT) - RESERVE[0], 3
+    while place < most:
+        place += 1
+        player.play(f"client#{place} expect nothing")
+        ended = {number for number in range(place) if player.connection("client", number)[1].ended}
+        assert 1 not in ended and (0 not in ended or 2 in ended)
+    # It is done ahead, so that there is room for the next: first who never asked, then who has.
+    assert ended == {0, 2} and port.producerState != "paused"
+    # Then all are too fresh; at the last descriptor the port rests, until they have had their time.
+    while budget.room(Side.FRONT):
+        place += 1
         player.play(f"client#{place} expect nothing")
-    assert [place for place in range(most) if player.connection("client", place)[1].aborted] == [2]
-    # The others are too fresh, but the one that has asked is not.
-    player.play(f"client#{most + 1} expect nothing")
-    assert player.connection("client", 0)[1].aborted and port.producerState != "paused"
+    assert port.producerState == "paused"
+    player.play("wait 300")
+    assert port.producerState == "producing" and player.connection("client", 3)[1].ended
 
 
 def test_one_that_sends_the_same_nonsense_again_is_slowed_down_and_closed():
