Tell resets that befall all alike from deaths, and try a lone one's server again

Probe of each leg: 6% are reset whatever their age, so two in a row come by chance once in 300 legs. At fault: decide._judge took two resets without an answer between for a death whatever the share of resets, and every lost leg moved its read on to a box without the key; and each reset halved the time after which idle connections are hung up, though their ages are now known by box (6,588 handshakes). Change: from 5% of resets on it takes three; a read whose reset marks nobody goes to the same box again; a hang-up of idle connections is carried out only where the box is short of places or leaves.

--- a/cloverwell/connections/back.py
+++ b/cloverwell/connections/back.py
@@ -196,6 +196,11 @@
             return opened < entry.cap
         return False
 
+    def crammed(self, box: str) -> bool:
+        """It has refused connections lately, or leaves: those that stand idle take others' places."""
+        entry = self._boxes.get(box)
+        return entry is None or entry.left_ms is not None or entry.refusals > 0 or entry.cap < math.inf
+
     def late(self, box: str, now: float) -> bool:
         """Nothing new may go to the box any more."""
         entry = self._boxes.get(box)
--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -464,8 +464,11 @@
             pool.address = (host, port)
 
     def hang_up(self, box: str) -> None:
-        """Closes idle connections; what is out at the box is let finish."""
-        if (pool := self._pools.get(box)) is not None:
+        """Closes idle connections, if the box wants their places; what is out at the box is let finish.
+
+        That they may be stale is no reason here: their ages are known better, and looked at before each use.
+        """
+        if (pool := self._pools.get(box)) is not None and self.back.crammed(box):
             pool.hang_up()
 
     def leave(self, box: str) -> None:
--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -45,6 +45,7 @@
 LATE_STEP = 0.9  # factor on that where the second copy was answered first, its inverse where the first was
 LATE_SHARE, LATE_CLUMP = 0.05, 5.0  # of the reads that may be sent again so, and how many of them at once
 BREAKS = 2  # resets without an answer between them that mark: one may be its connection's alone
+TORN, TORN_WEIGHT = 0.05, 0.01  # a share of resets from which on it takes one more: they befall all alike
 EXCESS_ROOM = 0.25  # part of a bound that traffic beyond a tenant's share may fill
 LIST_PACE_MS = 20.0  # between the first calls of all balancers: the list is one service of fixed capacity
 IDLE_GROWTH = 1.01  # an answer, of the time that unused connections are trusted: halved when one broke
@@ -72,6 +73,7 @@
         self._quotas = [[SHARE_CLUMP, 0.0] for _ in settings.tenants]  # requests in hand, as of
         self._idle_ms = settings.idle_close_ms  # connections unused for longer are not trusted
         self._full = self._crammed = 0.0  # running shares of attempts turned away, and refused a connection
+        self._torn = 0.0  # and of those whose connection broke
         self._spans = [Span() for _ in settings.classes]
         self._paces = [Pace(cls.aim_ms * CROWD_AIM) for cls in settings.classes]
         self._late, self._late_room = LATE, LATE_CLUMP
@@ -412,6 +414,7 @@
             self._idle_ms = min(self._idle_ms, unused) / 2
             return True
         server.breaks += status is Status.RESET
+        self._torn += TORN_WEIGHT * ((status is Status.RESET) - self._torn)
         if status in api.ANSWERS:
             self._heard(now, server)
             server.used_ms, server.breaks = now, 0
@@ -428,7 +431,7 @@
         usual = QUIET_FACTOR * max(server.pace.mean_ms, self._pace.mean_ms)
         alone = status is Status.TIMEOUT and (took < usual or sent + usual < server.overtaken_ms)
         silent = status is Status.TIMEOUT and not (server.origin or alone) and server.heard_ms <= sent
-        breaks = 1 if self._set.may_probe else BREAKS
+        breaks = 1 if self._set.may_probe else BREAKS + (self._torn > TORN)
         broken = status is Status.CONNECT_FAILED or (status is Status.RESET and server.breaks >= breaks)
         if not server.origin and (silent or broken):
             self._mark(now, server, silent)
@@ -446,7 +449,7 @@
             self._learn(now, rec.pace, took)
         if status in (Status.OK, Status.FULL, Status.TIMEOUT) and not alone:
             self._bound(now, server, status is not Status.OK or server.pace.mean_ms > self._crowd_ms(server))
-        return False
+        return status is Status.RESET and not broken  # its server still answers others
 
     def _crowd_ms(self, server: Server) -> float:
         return max(server.calm_ms, CROWD_RATIO * server.pace.floor_ms)
