--- a/cloverwell/net/acquirer_side.py
+++ b/cloverwell/net/acquirer_side.py
@@ -64,6 +64,11 @@
         self._keep_room()
         return connection
 
+    def short_of_descriptors(self) -> None:
+        """The machine, or something else in this process, has none left: a rest, until the next sweep."""
+        self._log.warn("accept", "no descriptor could be had")
+        self._rest()
+
     def closed(self, connection: Acquirer) -> None:
         if connection in self.connections:
             self.connections.discard(connection)
@@ -84,10 +89,13 @@
             self.borrow()
         if not self._full and not self._budget.room(Side.FRONT):
             self._log.warn("accept", f"{len(self.connections)} connections of clients fill their part")
-            self._figures.add(What.PAUSED)
-            self._full = True
-            if self.port is not None:
-                self.port.pauseProducing()
+            self._rest()
+
+    def _rest(self) -> None:
+        self._figures.add(What.PAUSED)
+        self._full = True
+        if self.port is not None:
+            self.port.pauseProducing()
 
     def _go_on(self) -> None:
         if self._full and self._budget.room(Side.FRONT):
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -23,6 +23,7 @@
 IDLE_SHARE = 0.5  # of the time after which a box closes an idle connection: ours are closed well before
 DRAIN_GRACE_MS = 950.0  # after a box leaves, connections to it may still be opened for so long
 BACKLOG = 512
+FIGURES_MS = 60_000.0  # between the log lines that count what connections did
 ACCEPT_MS = 500.0  # after SIGTERM clients may not have heard yet: new connections are taken for so long
 LINGER_MS = 500.0  # what the last answers may take to leave
 CLOSE_MS = 750.0  # and what comes on open ones is answered for longer than they may still be used
@@ -79,10 +80,16 @@
         """Listens only when the list is known: who connects is served."""
         self.wheel.start()
         self.table.start(self._config.known)
+        self._tell_figures()
         host, port = self._config.listen
         self._port = self.side.port = listen(self._reactor, host, port, self.side, BACKLOG)
         self._log.info("start", f"{self._config.name or 'proxy'} serves on {host}:{port}")
 
+    def _tell_figures(self) -> None:
+        if told := self.figures.line(*What):
+            self._log.info("connections", told)
+        self.wheel.at(self.wheel.now() + FIGURES_MS, self._tell_figures)
+
     def reload(self, read: Callable[[], Config]) -> None:
         """The file has been replaced: discovery's address is taken from it, all else at the next start."""
         try:
