--- a/cloverwell/net/cache_leg.py
+++ b/cloverwell/net/cache_leg.py
@@ -2,8 +2,8 @@
 
 from cloverwell.authorisation import Attempt
 from cloverwell.facade import Outcome
+from cloverwell.net.box_connection import BoxConnection
 from cloverwell.net.lines import MAX_VALUE, FramingError
-from cloverwell.net.pool import BoxConnection
 
 
 class CacheConnection(BoxConnection):
--- a/cloverwell/net/origin_leg.py
+++ b/cloverwell/net/origin_leg.py
@@ -4,9 +4,10 @@
 
 from cloverwell.authorisation import Attempt
 from cloverwell.facade import Outcome
+from cloverwell.net.box_connection import BoxConnection
 from cloverwell.net.http import HttpReceiver, request
 from cloverwell.net.lines import FramingError
-from cloverwell.net.pool import BoxConnection, Pool
+from cloverwell.net.pool import Pool
 
 
 class OriginConnection(HttpReceiver, BoxConnection):
--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -11,9 +11,8 @@
 from collections.abc import Callable
 
 from twisted.internet.address import IPv4Address
-from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IReactorTCP
-from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
 from cloverwell.authorisation import Attempt
@@ -22,164 +21,16 @@
 from cloverwell.connections.figures import Figures, What
 from cloverwell.facade import Outcome
 from cloverwell.log import Log
-from cloverwell.net.lines import PEEK, RingLineReceiver
-from cloverwell.wheel import Timer, Wheel
+from cloverwell.net.box_connection import BoxConnection
+from cloverwell.wheel import Wheel
 
 SWEEP_MS = 50.0
 STALL_MS, STALL_LOOKS = 25.0, 4  # an answer that has begun and does not go on for so many looks is given up
 MAX_WAITING = 256  # legs that wait for a connection to one box
-FRESH_MS = 10.0  # one that came up so lately has not stood idle
 AHEAD_ROOM = 0.1  # of the descriptors: so many stay free when connections are opened ahead
 MAX_MOVES = 4  # connections that one leg may find closed before its last byte
 
 
-class BoxConnection(RingLineReceiver):
-    """A connection to a box: its legs in order, each ended by the answer whose turn it is."""
-
-    def __init__(self, pool: Pool, asked_ms: float) -> None:
-        super().__init__()
-        self._pool = pool
-        self.legs: deque[Attempt] = deque()
-        self.asked_ms = asked_ms  # when it was asked for
-        self.idle_since_ms = 0.0
-        self.served = False  # a leg has ended on it
-        self._age_ms: float | None = None  # how long it had stood idle before its oldest leg
-        self._first_ms = 0.0  # when that leg's first byte was written
-        # A leg of which all but the last byte is written: it has not run, and can't yet.
-        self._split: tuple[Attempt, bytes, Timer] | None = None
-
-    def command(self, attempt: Attempt) -> bytes:
-        """The bytes of an attempt."""
-        raise NotImplementedError
-
-    def connectionMade(self) -> None:
-        super().connectionMade()
-        self._pool.opened(self)
-
-    @property
-    def free(self) -> bool:
-        return not (self.ended or self.legs or self._split)
-
-    def age_ms(self, now: float) -> float | None:
-        """How long it has stood idle; None on a fresh one."""
-        age = now - self.idle_since_ms
-        return age if self.served or age > FRESH_MS else None
-
-    def send(self, attempt: Attempt, use: Use = Use.WHOLE) -> bool:
-        """False if not a byte has been handed over."""
-        data = self.command(attempt)
-        rest = data[-1:] if use is Use.SPLIT else b""
-        if (attempt.authorisation.write and self._spoilt()) or not self.put(data[:-1] if rest else data):
-            return False
-        now = self._pool.now()
-        if not self.legs:
-            self._age_ms, self._first_ms = self.age_ms(now), now
-        if rest:
-            wait = self._pool.hold_ms()
-            self._split = (attempt, rest, self._pool.later(now + wait, self._write_rest))
-        else:
-            attempt.written_ms = now
-            self.legs.append(attempt)
-        return True
-
-    def _write_rest(self) -> None:
-        """No reset has come: the box is there, and the leg may run."""
-        attempt, rest, _ = self._split
-        self._split = None
-        if self._pool.now() > attempt.write_by_ms:
-            self.drop(Outcome.RESET)
-            attempt.end(Outcome.NOT_CONNECTED)
-        elif self._spoilt() or not self.put(rest):
-            self.drop(Outcome.RESET)
-            self._pool.move(attempt)
-        else:
-            attempt.written_ms = self._pool.now()
-            self.legs.append(attempt)
-
-    def _spoilt(self) -> bool:
-        """The box has closed it, or sent what no leg is owed: a write would be reset, perhaps for good."""
-        try:
-            self._socket.recv(1, PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            pass
-        return True
-
-    def finish_leg(self, outcome: Outcome, body: bytes = b"") -> None:
-        """The oldest leg has its answer."""
-        attempt = self.legs.popleft()
-        self._pool.answered(self._age_ms, self._first_ms)
-        self._age_ms, self.served = None, True
-        if not self.legs and self.unparsed:
-            # A second copy or noise behind a good answer would be read as the answer of the next leg.
-            self._pool.log.info("answer", f"more than the answer came from {self._pool.box}")
-            self.drop(Outcome.RESET)
-        else:
-            if not self.legs:
-                self.idle_since_ms = self._pool.now()
-            self._pool.freed(self)
-        attempt.end(outcome, body)
-
-    def dataReceived(self, data: bytes) -> None:
-        super().dataReceived(data)
-        if self._wanted or len(self._in):
-            self._pool.begun[self] = 0
-        else:
-            self._pool.begun.pop(self, None)
-
-    def framingLost(self, reason: str) -> None:
-        self._pool.log.warn("answer", f"malformed answer of {self._pool.box}: {reason}")
-        self.drop(Outcome.RESET)
-
-    def give_up(self, attempt: Attempt, outcome: Outcome) -> bool:
-        """Ends that leg and with it the connection; False if the leg is not here."""
-        if self._split is not None and self._split[0] is attempt:
-            self._split[2].cancel()
-            self._split = None
-            self.drop(outcome)
-            # Without its last byte it can't have run: to call it off, or time it out, leaves nothing.
-            attempt.end(Outcome.NOT_CONNECTED if outcome is Outcome.TIMED_OUT else outcome)
-            return True
-        if attempt not in self.legs:
-            return False
-        if attempt is self.legs[0] and self not in self._pool.begun:
-            self._pool.silent(self._age_ms, self._first_ms)
-        self.drop(outcome, attempt)
-        return True
-
-    def drop(self, outcome: Outcome, of: Attempt | None = None) -> None:
-        """Ends the connection and each of its legs: `of` by that outcome, the others by a reset."""
-        legs, self.legs = self.legs, deque()
-        self.end(abort=True)
-        self._pool.lost(self)
-        for attempt in legs:
-            attempt.end(outcome if attempt is of else Outcome.RESET)
-        self._go_elsewhere()
-
-    def _go_elsewhere(self) -> None:
-        if self._split is not None:
-            (attempt, _, timer), self._split = self._split, None
-            timer.cancel()
-            self._pool.move(attempt)
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
-        by_box = not self.ended
-        super().connectionLost(reason)
-        legs, self.legs = self.legs, deque()
-        if by_box:
-            # From the last bytes on: what a leg was held back for says nothing of the way.
-            since = legs[0].written_ms if legs else self._first_ms
-            after = self._pool.now() - since if legs or self._split else None
-            begun = self in self._pool.begun
-            torn = not reason.check(ConnectionDone)
-            self._pool.broken(self.served, self._age_ms, after, begun, self._split is not None, torn)
-        self._pool.lost(self)
-        for attempt in legs:
-            attempt.end(Outcome.RESET)
-        self._go_elsewhere()
-
-
 class _Opener(ClientFactory):
     noisy = False
 
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -11,9 +11,10 @@
 from cloverwell.facade import Facade
 from cloverwell.log import Log
 from cloverwell.net.acquirer_side import AcquirerSide
+from cloverwell.net.box_connection import BoxConnection
 from cloverwell.net.cache_leg import CacheConnection
 from cloverwell.net.origin_leg import OriginConnection
-from cloverwell.net.pool import BoxConnection, Pool, Pools
+from cloverwell.net.pool import Pool, Pools
 from cloverwell.net.routing_table import RoutingTable
 from cloverwell.wheel import Wheel
 
