Show the program at work with one command, and let the judge be tested by defects

Change: cloverwell with run, check, config schema, lab list and lab run (click, an optional extra; the lab brings its commands by entry point, so that the proxy imports nothing of it); boxes begin with the keys that the ring asks them for; an answer that nobody waits for, and a request lost at a planned end, are breaches.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	cmp -s requirements.txt .venv/requirements.txt || ( $(PYTHON) -m venv .venv && .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/requirements.txt )
 
 dev:
-	cat requirements.txt requirements-dev.txt | cmp -s - .venv-dev/installed.txt || ( $(PYTHON) -m venv .venv-dev && .venv-dev/bin/pip -q install -r requirements-dev.txt && cat requirements.txt requirements-dev.txt > .venv-dev/installed.txt )
+	cat requirements.txt requirements-dev.txt pyproject.toml | cmp -s - .venv-dev/installed.txt || ( $(PYTHON) -m venv .venv-dev && .venv-dev/bin/pip -q install -r requirements-dev.txt && cat requirements.txt requirements-dev.txt pyproject.toml > .venv-dev/installed.txt )
 
 test: dev
 	.venv-dev/bin/python -m pytest -q
--- /dev/null
+++ b/lab/cli.py
@@ -0,0 +1,73 @@
+"""`cloverwell lab`: the worlds, played in virtual time."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import click
+
+from cloverwell.cli.main import refuse
+from lab.play import Play
+from lab.world import WorldError, load, names
+
+BROKEN = 1  # exit code where a rule broke
+
+
+@click.group()
+def lab() -> None:
+    """Worlds to try the proxy in: boxes, origin, discovery, clients, and what goes wrong.
+
+    \b
+    cloverwell lab list
+    cloverwell lab run deploy --seed 3 --out /tmp/deploy
+    """
+
+
+@lab.command("list")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
+def list_worlds(as_json: bool) -> None:
+    """The worlds that are shipped, with what each is about."""
+    for name in names():
+        about = load(name).about
+        click.echo(json.dumps({"world": name, "about": about}) if as_json else f"{name:12} {about}")
+
+
+@lab.command()
+@click.argument("world")
+@click.option("--seed", default=1, show_default=True, help="Draws all that is left to chance.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="Folder for summary and logs.")
+@click.option("--json", "as_json", is_flag=True, help="Print the summary as JSON.")
+def run(world: str, seed: int, out: Path | None, as_json: bool) -> None:
+    """Play WORLD (a name, or a TOML file) in virtual time; exit code 1 where a rule broke.
+
+    \b
+    Example: cloverwell lab run hang --seed 7 --out /tmp/hang
+    """
+    try:
+        read = load(world)
+    except WorldError as error:
+        refuse(str(error))
+    play = Play(read, seed)
+    summary = {"world": world} | play.run()
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        (out / "summary.json").write_text(json.dumps(summary, indent=1) + "\n")
+        for proxy in play.proxies:
+            (out / f"{proxy.name}.log").write_text(proxy.log.getvalue())
+    click.echo(json.dumps(summary) if as_json else told(summary))
+    if any(summary["rules"].values()):
+        raise SystemExit(BROKEN)
+
+
+def told(summary: dict[str, Any]) -> str:
+    """The summary for a person."""
+    lines = [f"{summary['world']}, seed {summary['seed']}: service {summary['service']:.3f}"]
+    span = f"{summary['simulated_s']:g} s ({summary['wall_s']:.1f} s here)"
+    lines.append(f"  {summary['requests']} requests in {span}")
+    lines += [f"  {at:7.2f} s  {text}" for at, text in summary["notes"]]
+    lines += [f"  class {name:12} {value:.4f}" for name, value in summary["classes"].items()]
+    lines.append("  ends: " + ", ".join(f"{name} {number}" for name, number in summary["ends"].items()))
+    broken = {rule: number for rule, number in summary["rules"].items() if number}
+    lines.append("  rules kept" if not broken else f"  RULES BROKEN: {broken}")
+    lines += [f"    {b['at_s']:.3f} {b['rule']} {b['request']}: {b['why']}" for b in summary["breaches"][:5]]
+    return "\n".join(lines)
--- a/lab/judge.py
+++ b/lab/judge.py
@@ -1,4 +1,4 @@
-"""The four rules, checked from the outside: what crossed the sockets, and nothing that the proxy says of itself.
+"""The four rules, checked from the outside: by what crossed the sockets, not by what the proxy says.
 
 1. *answered*: each request that a live proxy took gets exactly one final answer before its client gives up,
    and what serves it was made for it by a box or the origin.
@@ -98,8 +98,8 @@
         if now > case.deadline_s + SLACK_S:
             self.breach("answered", now, name, f"{now - case.deadline_s:.3f} s after its client gave up")
 
-    def over(self, name: str) -> None:
-        """Its client needs nothing more of it."""
+    def forget(self, name: str) -> None:
+        """Long over: nothing that was sent for it can still come in."""
         self.cases.pop(name, None)
 
     def lost(self, now: float, name: str, why: str) -> None:
--- a/lab/net.py
+++ b/lab/net.py
@@ -42,6 +42,7 @@
         self.net = net
         self.other: End | None = None
         self.protocol: Any = None
+        self.owner: object = None  # the process that holds it, if that can die
         self.latency_s = latency_s
         self._addresses = (IPv4Address("TCP", *host), IPv4Address("TCP", *peer))
         self.closed = False  # this side's descriptor is free
@@ -200,8 +201,8 @@
 
 
 class Listener:
-    def __init__(self, net: Net, address: Address, factory: Any) -> None:
-        self.net, self.address, self.factory = net, address, factory
+    def __init__(self, net: Net, address: Address, factory: Any, owner: object = None) -> None:
+        self.net, self.address, self.factory, self.owner = net, address, factory, owner
         self.paused = False
         self._queue: list[Callable[[], None]] = []
 
@@ -233,34 +234,53 @@
         self.listeners: dict[Address, Listener] = {}
         self.paths: dict[Address, Path] = {}
         self.open = 0  # ends whose descriptor is held
+        self.delay: Callable[[str, str], float] | None = None  # one way between two hosts, in s
+        self._owned: dict[object, dict[End, None]] = {}
         self.stopped = False
 
     def path(self, address: Address) -> Path:
         return self.paths.setdefault(address, Path())
 
-    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Listener:
-        listener = self.listeners[interface, port] = Listener(self, (interface, port), factory)
+    def listenTCP(
+        self, port: int, factory: Any, backlog: int = 50, interface: str = "", owner: object = None
+    ) -> Listener:
+        listener = self.listeners[interface, port] = Listener(self, (interface, port), factory, owner)
         return listener
 
+    def kill(self, owner: object) -> None:
+        """The process is gone: its connections are reset and its ports closed, and it hears nothing of it."""
+        for address, listener in list(self.listeners.items()):
+            if listener.owner is owner:
+                del self.listeners[address]
+        for end in self._owned.pop(owner, {}):
+            if not end.closed:
+                end._deliver(end.other.reset)
+                end.closed = True
+                self.open -= 1
+
     def connectTCP(
         self, host: str, port: int, factory: Any, timeout: float = 30.0, bindAddress: Any = None
     ) -> None:
         path = self.path((host, port))
+        near, owner = bindAddress or ("127.0.0.1", None)
+        if self.delay is not None:
+            path = Path(self.delay(near, host), path.refuse, path.silent)
         if path.silent:
             self.callLater(timeout, self._fail, factory, ConnectTimeout())
             return
-        self.callLater(path.latency_s, self._arrive, (host, port), factory, path, timeout)
+        self.callLater(path.latency_s, self._arrive, (host, port), factory, path, near, owner)
 
     def _fail(self, factory: Any, error: Exception) -> None:
         factory.clientConnectionFailed(None, Failure(error))
 
-    def _arrive(self, address: Address, factory: Any, path: Path, timeout: float) -> None:
+    def _arrive(self, address: Address, factory: Any, path: Path, host: str, owner: object) -> None:
         listener = self.listeners.get(address)
         if listener is None or path.refuse:
             self.callLater(path.latency_s, self._fail, factory, ConnectionRefusedError())
             return
-        near = End(self, path.latency_s, ("127.0.0.1", 1), address)
-        far = End(self, path.latency_s, address, ("127.0.0.1", 1))
+        near = End(self, path.latency_s, (host, 1), address)
+        far = End(self, path.latency_s, address, (host, 1))
+        near.owner, far.owner = owner, listener.owner
         near.other, far.other = far, near
         # The machine accepts by itself; the program takes the connection when it can.
         self.callLater(path.latency_s, self._established, near, factory)
@@ -273,18 +293,22 @@
         self._connect(near, factory.buildProtocol(near.getPeer()))
 
     def _connect(self, end: End, protocol: Any) -> None:
-        if protocol is None:
+        if protocol is None or (end.owner is not None and not end.owner.alive):
             end.closed = True
             end._deliver(end.other.reset)
             return
         end.protocol = protocol
         self.open += 1
+        if end.owner is not None:
+            self._owned.setdefault(end.owner, {})[end] = None
         protocol.transport = end
         protocol.makeConnection(end)
         self.callLater(0, end._read)
 
     def freed(self, end: End) -> None:
         self.open -= 1
+        if end.owner is not None:
+            self._owned.get(end.owner, {}).pop(end, None)
 
     def stop(self) -> None:
         self.stopped = True
--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -29,12 +29,18 @@
         self.hung = False  # takes requests, answers none
         self.down = False
         self._ends: dict[str, Any] = {}  # job -> what to call at its end
+        self._jobs = 0
         play.net.listenTCP(address[1], self, interface=address[0])
 
     @property
     def now(self) -> float:
         return self.play.net.seconds()
 
+    def job_of(self, name: str) -> str:
+        """A name of its own for each attempt: the same request may come twice."""
+        self._jobs += 1
+        return f"{name}#{self._jobs}"
+
     def offer(self, name: str, work_s: float, done: Any) -> bool:
         begun = self.server.offer(self.now, name, work_s)
         if begun is None:
@@ -111,7 +117,7 @@
     def __init__(self, box: Box) -> None:
         self.box = box
         self._fresh_s = box.play.world.boxes.handshake_ms / 1000.0
-        self._order: list[list[Any]] = []  # [name, answer or None], answered in order
+        self._order: list[list[Any]] = []  # [job, answer or None], answered in order
         self._idle_s = box.now
         self._value: tuple[str, str] | None = None
         self._left = 0
@@ -150,7 +156,7 @@
     def _run(self, key: str, name: str, write: bool) -> None:
         box, play = self.box, self.box.play
         play.judge.attempt(box.now, name, box.name)
-        entry: list[Any] = [name, None]
+        entry: list[Any] = [box.job_of(name), None]
         self._order.append(entry)
         work_s = play.work_of(name)
         hit = not write and box.keys.hit(key)
@@ -176,7 +182,7 @@
                 entry[1] = f"EN O{name} L{box.report()}\r\n"
             self._answer()
 
-        if box.draining or not box.offer(f"{name}@{id(self)}", work_s, done):
+        if box.draining or not box.offer(entry[0], work_s, done):
             box.play.judge.never_ran(name)
             entry[1] = "SERVER_ERROR busy\r\n"
             self._answer()
@@ -188,9 +194,9 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.box.links.discard(self)
-        for name, answer in self._order:
+        for job, answer in self._order:
             if answer is None:
-                self.box.call_off(f"{name}@{id(self)}")
+                self.box.call_off(job)
 
 
 class Web(Protocol):
@@ -261,7 +267,7 @@
         play.judge.attempt(self.now, name, "origin")
         work_s = play.work_of(name) * play.world.origin.work_factor
         self._load(work_s)
-        job = f"{name}@{id(web)}"
+        job = self.job_of(name)
 
         def done() -> None:
             if method == "PUT":
--- a/lab/people.py
+++ b/lab/people.py
@@ -25,6 +25,7 @@
 
 NOTICE_S = 2.0  # after which the front layer sends no more to a proxy that refuses
 WINDOW_S = 10.0
+CROSSED_S = 0.05  # a request that is younger may have crossed the close of its connection
 
 
 @dataclass(slots=True)
@@ -71,9 +72,11 @@
         return self._end("failed", text)
 
     def _end(self, how: str, text: str) -> None:
-        if self.try_ is not None:
-            (name, wish), self.try_ = self.try_, None
-            self.people.ended(self, name, wish, how, text)
+        if self.try_ is None:
+            play = self.people.play
+            return play.judge.breach("answered", self.people.now, "", "an answer that nobody waits for")
+        (name, wish), self.try_ = self.try_, None
+        return self.people.ended(self, name, wish, how, text)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.people.down(self)
@@ -145,9 +148,12 @@
     # Tries --------------------------------------------------------------------------------------
 
     def _proxies(self) -> list[Proxy]:
-        mine = [proxy for proxy in self.play.proxies if proxy.zone == self.zone] or self.play.proxies
-        live = [proxy for proxy in mine if self.now - self._dead.get(proxy.name, self.now) < NOTICE_S]
-        return live or mine
+        """Those of the zone that are not known to be dead, else of any zone."""
+        live = [
+            proxy for proxy in self.play.proxies if self.now - self._dead.get(proxy.name, self.now) < NOTICE_S
+        ]
+        mine = [proxy for proxy in live if proxy.zone == self.zone]
+        return mine or live or self.play.proxies
 
     def _try(self, wish: Wish) -> None:
         left = wish.asked_s + wish.cls.deadline_ms / 1000.0 - self.now
@@ -219,9 +225,12 @@
 
     def _done(self, name: str, wish: Wish, how: str) -> None:
         wish.end = how
-        self.play.judge.over(name)
-        # What is out at a box for it may still come in: its work is known a while longer.
-        self.play.net.callLater(8.0, self.play.requests.pop, name, None)
+        # What is out at a box for it may still come in: it is known a while longer.
+        self.play.net.callLater(8.0, self._forget, name)
+
+    def _forget(self, name: str) -> None:
+        self.play.requests.pop(name, None)
+        self.play.judge.forget(name)
 
     def refused(self, proxy: Proxy, wish: Wish) -> None:
         self._dead.setdefault(proxy.name, self.now)
@@ -237,7 +246,9 @@
         if till.try_ is None:
             return
         (name, wish), till.try_ = till.try_, None
-        if till.proxy.service is not None and not till.proxy.draining:
+        # What crossed a close is sent once more; what was there before has been taken, and is lost.
+        case = self.play.judge.cases.get(name)
+        if till.proxy.service is not None and case is not None and self.now - case.sent_s > CROSSED_S:
             self.play.judge.lost(self.now, name, "its connection ended without an answer")
         self._done(name, wish, "lost")
         if wish.cls.effect == "retryable":
@@ -247,7 +258,7 @@
 
     @staticmethod
     def figures(everybody: list[People], world: World) -> dict[str, Any]:
-        """The share of the worth asked for that was answered in time: whole, worst window, class and tenant."""
+        """Shares of the worth asked for that was answered in time: whole, worst window, class and tenant."""
         wishes = [wish for people in everybody for wish in people.wishes]
 
         def share(some: list[Wish]) -> float:
--- a/lab/play.py
+++ b/lab/play.py
@@ -1,4 +1,4 @@
-"""One world played in virtual time: whole proxies, their neighbours, what goes wrong, the judge, the figures."""
+"""One world played in virtual time: whole proxies, their neighbours, faults, the judge, the figures."""
 
 from __future__ import annotations
 
@@ -21,10 +21,13 @@
 from lab.people import People
 from lab.server import Server
 from lab.world import ON_BOXES, Class, Fault, World
+from olivestair.decide import TOKENS
+from olivestair.ring import Ring, point
 from olivestair.settings import read_settings
 
 EPOCH_S = 1_000_000.0  # Unix time when the virtual clock shows 0
 ORIGIN = "origin"
+KILL_S = 4.0  # what a planned end may take
 
 
 @dataclass
@@ -36,6 +39,7 @@
     service: Service | None = None
     starts: int = 0
     draining: bool = False
+    back_s: float = 0.0  # after a planned end, until it is started again
 
 
 class Inside:
@@ -109,15 +113,19 @@
         for proxy in self.proxies:
             self.start(proxy)
         self.people = [People(self, zone) for zone in range(self.world.zones)]
-        for key in self.people[0].popular():
-            self.owner_of(key).keys.store(key)
+        self._warm()
         for fault in self.world.faults:
             self.net.callLater(fault.at_s, self._happen, fault)
 
-    def owner_of(self, key: str) -> Box:
-        """Some box for each key, so that a day begins warm: where the ring wants it is the proxies' matter."""
-        names = sorted(self.boxes)
-        return self.boxes[names[int(hashlib.sha256(key.encode()).hexdigest()[:8], 16) % len(names)]]
+    def _warm(self) -> None:
+        """Boxes that run when the day begins hold what the ring has long asked them for."""
+        ring: Ring[str] = Ring()
+        for name in sorted(self.boxes):
+            ring.put(name, name, TOKENS)
+        ring.settle()
+        for key in self.people[0].popular():
+            _, owner = next(ring.clockwise(point(key)))
+            self.boxes[owner].keys.store(key)
 
     def _delay(self, near: str, far: str) -> float:
         """One way between two hosts: their second number is their zone."""
@@ -201,6 +209,13 @@
     def ended(self, proxy: Proxy) -> None:
         """It has answered all and stops by itself."""
         self.kill(proxy)
+        self.net.callLater(proxy.back_s, self.start, proxy)
+
+    def _kill_late(self, proxy: Proxy, service: Service) -> None:
+        """It has not ended in the time that a planned end may take."""
+        if proxy.service is service:
+            self.note(f"{proxy.name} did not end by itself")
+            self.ended(proxy)
 
     def proxy_of(self, web: Any) -> str:
         host = web.transport.getPeer().host
@@ -307,10 +322,9 @@
 
     def _stop(self, proxy: Proxy, fault: Fault) -> None:
         if fault.kind == "proxy_restart" and proxy.service is not None:
-            proxy.draining = True
+            proxy.draining, proxy.back_s = True, fault.for_s
             proxy.service.drain()
-            self.net.callLater(4.0, self.kill, proxy)
-            self.net.callLater(4.0 + fault.for_s, self.start, proxy)
+            self.net.callLater(KILL_S, self._kill_late, proxy, proxy.service)
         else:
             self.kill(proxy)
             self.net.callLater(fault.for_s, self.start, proxy)
--- a/lab/world.py
+++ b/lab/world.py
@@ -154,7 +154,7 @@
         allowed = boxes if fault.kind in ON_BOXES else proxies if fault.kind in ON_PROXIES else set()
         for who in fault.whom:
             if who not in allowed:
-                kinds = "box-0 to box-%d" % (world.boxes.count - 1) if allowed is boxes else "see its kind"
+                kinds = f"box-0 to box-{world.boxes.count - 1}" if allowed is boxes else "see its kind"
                 raise WorldError(f"{where}.whom: {who!r} is not there; allowed: {kinds}")
         if allowed and not (fault.whom or fault.part):
             raise WorldError(f"{where}.part: must be over 0, or whom must name somebody")
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,275 @@
+"""The lab itself: the same seed gives the same day, the judge can fail, and a bad world is refused."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from cloverwell import dispatcher, facade, service
+from cloverwell.authorisation import Authorisation, Served
+from cloverwell.cli.main import cli
+from cloverwell.connections.back import Back
+from cloverwell.net.cache_leg import CacheConnection
+from cloverwell.net.pool import Pools
+from lab.cli import lab
+from lab.judge import RULES
+from lab.play import Play
+from lab.server import Keys, Server
+from lab.world import Fault, WorldError, load, names
+from olivestair.decide import Balancer
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def short(name, seconds=5.0, faults=None, per_s=200.0, **more):
+    """A shipped world, cut short."""
+    world = load(name)
+    traffic = msgspec.structs.replace(world.traffic, per_s=per_s)
+    faults = world.faults if faults is None else faults
+    return msgspec.structs.replace(world, seconds=seconds, faults=faults, traffic=traffic, **more)
+
+
+def broken(summary):
+    return {rule for rule in RULES if summary["rules"][rule]}
+
+
+def test_a_calm_day_keeps_the_rules_and_serves_nearly_all():
+    summary = Play(short("calm"), 1).run()
+    assert not broken(summary), summary["breaches"]
+    assert summary["service"] > 0.98 and summary["requests"] > 800
+
+
+@pytest.mark.parametrize("kind", ["hang", "crash", "drain", "proxy_crash", "proxy_restart", "discovery_down"])
+def test_rules_hold_through_each_fault(kind):
+    part = 0.0 if kind == "discovery_down" else 0.25
+    world = short("calm", 7.0, [Fault(kind, 1.0, 1.5, part)], proxies=4)
+    summary = Play(world, 3).run()
+    assert not broken(summary), summary["breaches"]
+    assert summary["service"] > 0.85, summary["ends"]
+    assert any(kind.split("_")[0] in text for _, text in summary["notes"])
+
+
+def test_one_seed_gives_one_trace_in_any_process():
+    code = (
+        "import sys; sys.path.insert(0, 'tests'); from test_lab import short; from lab.play import Play;"
+        "print(Play(short('hang', 2.0), 5).run()['trace_sha256'])"
+    )
+    traces = {
+        subprocess.run(
+            [sys.executable, "-c", code],
+            cwd=ROOT,
+            env=os.environ | {"PYTHONHASHSEED": seed, "PYTHONPATH": str(ROOT)},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout.strip()
+        for seed in ("0", "77")
+    }
+    assert traces == {Play(short("hang", 2.0), 5).run()["trace_sha256"]}
+    assert traces != {Play(short("hang", 2.0), 6).run()["trace_sha256"]}
+
+
+def test_virtual_time_lets_no_wall_clock_in(monkeypatch):
+    # A call that escapes into real time, threads or unseeded chance would make a day that can't be repeated.
+    import random
+    import threading
+    import time
+
+    def escaped(*_args, **_kw):
+        raise AssertionError("escaped from virtual time")
+
+    play = Play(short("calm", 1.0), 1)
+    for owner, name in ((time, "time"), (time, "monotonic"), (random, "random"), (threading, "Thread")):
+        monkeypatch.setattr(owner, name, escaped)
+    play.net.run_for(1.0)
+    for people in play.people:
+        people.start()
+    play.net.run_for(1.0)
+
+
+# The judge can fail: small defects, each caught by a rule ---------------------------------------
+
+
+def answers_twice(patch):
+    def give(self, answer):
+        self.close()
+        self.answer(self, answer)
+        return True
+
+    real = Authorisation.finish
+
+    def finish(self, answer):
+        return real(self, answer) or (isinstance(answer, Served) and give(self, answer))
+
+    patch.setattr(Authorisation, "finish", finish)
+    patch.setattr(dispatcher.Dispatcher, "_ended", _ended_twice(dispatcher.Dispatcher._ended))
+
+
+def _ended_twice(real):
+    def ended(self, attempt, outcome, body):
+        real(self, attempt, outcome, body)
+        if outcome is facade.Outcome.SERVED and attempt.authorisation.over:
+            side = attempt.authorisation.answer.func.__self__
+            side.put(f"VA {len(body)} O{attempt.authorisation.id}\r\n".encode() + body + b"\r\n")
+
+    return ended
+
+
+def serves_another_value(patch):
+    real = Authorisation.finish
+    patch.setattr(
+        Authorisation,
+        "finish",
+        lambda self, answer: real(self, Served(b"x") if isinstance(answer, Served) else answer),
+    )
+
+
+def forgets_some(patch):
+    real = dispatcher.Dispatcher.take
+
+    def take(self, authorisation):
+        if not authorisation.id.endswith("7"):
+            real(self, authorisation)
+
+    patch.setattr(dispatcher.Dispatcher, "take", take)
+
+
+def answers_late(patch):
+    real = dispatcher.Dispatcher.take
+
+    def take(self, authorisation):
+        authorisation.left_ms += 5000.0
+        real(self, authorisation)
+
+    patch.setattr(dispatcher.Dispatcher, "take", take)
+    patch.setattr(Authorisation, "info_with", lambda self, wait_ms: self.info)
+
+
+def drops_what_is_open_at_drain(patch):
+    def drain(self):
+        for connection in list(self.side.connections):
+            connection.transport.abortConnection()
+
+    patch.setattr(service.Service, "drain", drain)
+
+
+def sends_orders_again(patch):
+    patch.setattr(Balancer, "_may_send", lambda self, now, rec: rec.attempts < 3)
+
+
+def tries_without_end(patch):
+    real = CacheConnection.command
+    patch.setattr(CacheConnection, "command", lambda self, attempt: 4 * real(self, attempt))
+
+
+def keeps_using_a_drained_box(patch):
+    real = Balancer.handle
+
+    def handle(self, now, event):
+        if hasattr(event, "entries") and any(entry.state.value for entry in event.entries):
+            return []
+        return real(self, now, event)
+
+    patch.setattr(Balancer, "handle", handle)
+    patch.setattr(Pools, "leave", lambda self, box: None)
+    patch.setattr(Back, "late", lambda self, box, now: False)
+
+
+CRASH = [Fault("crash", 1.0, 2.0, 0.5)]
+DRAIN = [Fault("drain", 1.0, 0.5, 0.5)]
+MUTANTS = [
+    (answers_twice, [], "answered"),
+    (serves_another_value, [], "answered"),
+    (forgets_some, [], "answered"),
+    (answers_late, [Fault("hang", 0.5, 5.0, 0.5)], "answered"),
+    (drops_what_is_open_at_drain, [Fault("proxy_restart", 2.0, 0.5, 1.0)], "answered"),
+    (tries_without_end, [], "once"),
+    (keeps_using_a_drained_box, DRAIN, "drain"),
+]
+
+
+@pytest.mark.parametrize("mutant, faults, rule", MUTANTS, ids=lambda what: getattr(what, "__name__", None))
+def test_the_judge_catches_each_defect(monkeypatch, mutant, faults, rule):
+    mutant(monkeypatch)
+    summary = Play(short("calm", 6.0, faults), 2).run()
+    assert rule in broken(summary), summary["rules"]
+
+
+# Worlds and the command line --------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "text, wanted",
+    [
+        ("seconds = -1", "$.seconds"),
+        ("wrong = 1", "wrong"),
+        ('[[faults]]\nkind = "flood"\nat_s = 1', "$.faults[0].kind"),
+        ('[[faults]]\nkind = "hang"\nat_s = 1\npart = 1.5', "$.faults[0].part"),
+        ('[[faults]]\nkind = "hang"\nat_s = 1\nwhom = ["box-99"]', "faults[0].whom"),
+        ('[[faults]]\nkind = "hang"\nat_s = 1', "faults[0].part"),
+        ("seconds = ", "Invalid"),
+    ],
+)
+def test_a_bad_world_is_refused_in_one_line_that_names_the_field(tmp_path, text, wanted):
+    path = tmp_path / "world.toml"
+    path.write_text(text)
+    result = CliRunner().invoke(lab, ["run", str(path)])
+    assert result.exit_code == 2 and wanted in result.output and result.output.count("\n") == 1
+
+
+def test_all_shipped_worlds_can_be_read():
+    assert len(names()) >= 12
+    for name in names():
+        assert load(name).about
+    with pytest.raises(WorldError, match="calm"):
+        load("nowhere")
+
+
+def test_the_command_line_plays_a_world_and_writes_its_summary(tmp_path):
+    path = tmp_path / "small.toml"
+    path.write_text("seconds = 1.0\n[boxes]\ncount = 3\n[traffic]\nper_s = 50.0\n")
+    result = CliRunner().invoke(lab, ["run", str(path), "--seed", "4", "--out", str(tmp_path / "out")])
+    assert result.exit_code == 0 and "rules kept" in result.output
+    summary = json.loads((tmp_path / "out" / "summary.json").read_text())
+    wanted = {"world", "seed", "requests", "service", "rules", "trace_sha256", "wall_s", "simulated_s"}
+    assert wanted <= set(summary)
+
+
+def test_check_names_the_field_of_a_bad_configuration(tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text('{"listen": "nonsense"}')
+    result = CliRunner().invoke(cli, ["check", str(path)])
+    assert result.exit_code == 2 and "settings" in result.output
+    good = CliRunner().invoke(cli, ["check", str(ROOT / "examples" / "config.json")])
+    assert good.exit_code == 0 and "good" in good.output
+    assert "listen" in CliRunner().invoke(cli, ["config", "schema"]).output
+
+
+# Servers without I/O ----------------------------------------------------------------------------
+
+
+def test_a_server_takes_what_fits_and_turns_the_rest_away():
+    server = Server(cores=2, speed=1.0, room=1)
+    assert len(server.offer(0.0, "a", 1.0)) == 1 and len(server.offer(0.0, "b", 1.0)) == 1
+    assert server.offer(0.0, "c", 1.0) == [] and server.offer(0.0, "d", 1.0) is None
+    assert [job.name for job in server.finish(1.0, "a")] == ["c"]
+    assert server.finish(1.0, "unknown") == [] and server.done_s == 1.0
+
+
+def test_a_cold_server_is_slow_and_grows_warm():
+    server = Server(cores=1, speed=2.0, room=0, born_s=10.0, cold_share=0.25, warm_s=8.0)
+    assert server.pace(10.0) == 0.5 and server.pace(14.0) == 1.25 and server.pace(30.0) == 2.0
+
+
+def test_keys_drop_what_was_used_longest_ago():
+    keys = Keys(2)
+    keys.store("a")
+    keys.store("b")
+    assert keys.hit("a")
+    keys.store("c")
+    assert keys.all() == ["a", "c"] and not keys.hit("b")
