Trust ages while hardly any leg is stale, and let silence set limits only where it is sure

Change: a limit that silence alone tells of needs a step of 60 points; ages are trusted whole while hardly a leg of the kind is stale and the box has lost none; legs that may not run twice are still validated.

--- a/cloverwell/connections/back.py
+++ b/cloverwell/connections/back.py
@@ -27,6 +27,7 @@
 COMMON, LONG = 0.02, 0.005  # share over which one more reset tells nothing new of its box; its weight
 YOUNG_MS = 50.0  # idle for less: no box closes so soon, until it is seen to
 ALMOST = 0.03  # weight of a leg in the share of resets
+CALM, SLOW = 0.0005, 0.001  # a share of stale legs under which every age is trusted; the weight of one in it
 DEAR_TIMES = 4.0  # as much proof of an age is wanted for legs that may not run twice
 DEAR_MS = 3.0  # a handshake that takes less is not worth one ahead of need
 AHEAD_EACH = 2  # opened ahead for a box at once
@@ -70,6 +71,7 @@
 
     resets: float = 0.0  # of late, per leg
     share: float = 0.0  # the same over a longer time
+    worry: float = 0.0  # stale legs among all, over a long time
     drops: float = 0.0  # whether dead connections are silent rather than reset: then nothing validates them
     reset_ms: float = 0.0  # the longest that one took to come, sinking slowly
 
@@ -147,6 +149,7 @@
         kin = self._kinds[entry.kind]
         kin.resets *= 1.0 - ALMOST
         kin.share *= 1.0 - LONG
+        kin.worry *= 1.0 - SLOW
         if age_ms is not None:
             self.limits.learn(box, entry.kind, age_ms, False, now)
 
@@ -167,6 +170,7 @@
             kin.reset_ms = max(after_ms, 0.95 * kin.reset_ms + 0.05 * after_ms)
         if age_ms is not None:
             surprise = kin.share < COMMON
+            kin.worry += SLOW * (1.0 - kin.worry)
             kin.drops *= 0.5
             self.limits.learn(box, entry.kind, age_ms, True, now, surprise)
 
@@ -180,7 +184,7 @@
             kin = self._kinds[entry.kind]
             kin.drops = 1.0
             kin.share += LONG * (1.0 - kin.share)
-            self.limits.learn(box, entry.kind, age_ms, True, now, kin.share < COMMON)
+            self.limits.learn(box, entry.kind, age_ms, True, now, silent=True)
 
     # What to do ---------------------------------------------------------------------------------
 
@@ -196,6 +200,9 @@
             return Use.SPLIT
         if age_ms is None or age_ms < YOUNG_MS:
             return Use.WHOLE
+        calm = self._kinds[entry.kind].worry < CALM and not self.limits.has_lost(box)
+        if calm and not dear:
+            return Use.WHOLE
         proven = self.limits.proven(box, entry.kind, age_ms, DEAR_TIMES if dear else 1.0)
         return Use.WHOLE if proven else Use.SPLIT
 
--- a/cloverwell/connections/stale.py
+++ b/cloverwell/connections/stale.py
@@ -20,7 +20,9 @@
 EDGES += (25500, 32000, 40000, 50000, 62000, 78000, 98000, 122000)
 EVIDENCE = (2.0, 6.0)  # log-likelihood by which a step must beat no step: like its kind's, and by itself
 SOONEST = EDGES.index(60)  # no box closes idle connections sooner: what is lost there was lost otherwise
-JUMP = 0.25  # by which the share of stale ones must rise there
+# By how much the share of stale ones must rise there; and where no reset tells of them, since silence has
+# other causes, while a flow that something in between has dropped is dead for each leg.
+JUMP = (0.25, 0.6)
 YOUNG = (1.0, 30.0)  # resets and legs that are assumed before anything is seen
 HALF_LIFE_MS = (30_000.0, 960_000.0)  # of the evidence: at first, and at the most
 PROVEN = 4.0  # so many answered legs at that age or older show that connections live so long
@@ -44,19 +46,21 @@
 class Ages:
     """Legs by the idle age of their connection: how many, and how many of them were reset at once."""
 
-    __slots__ = ("_bad", "_found", "_good", "_half_life_ms", "_turned_ms", "gain", "limit_ms")
+    __slots__ = ("_bad", "_found", "_good", "_half_life_ms", "_silent", "_turned_ms", "gain", "limit_ms")
 
     def __init__(self, now: float) -> None:
         self._good = [0.0] * len(EDGES)
         self._bad = [0.0] * len(EDGES)
+        self._silent = 0.0  # of the bad ones, those that were not reset
         self._half_life_ms = HALF_LIFE_MS[0]
         self._turned_ms = now
         self._found = 0.0  # the limit that was found last, though its evidence may be forgotten
         self.limit_ms = math.inf
         self.gain = 0.0  # the evidence of the limit
 
-    def learn(self, age_ms: float, stale: bool, now: float) -> None:
+    def learn(self, age_ms: float, stale: bool, now: float, silent: bool = False) -> None:
         self.forget(now)
+        self._silent += silent
         (self._bad if stale else self._good)[bucket(age_ms)] += 1.0
         # An answered leg moves the limit only where one stands below its age.
         if stale or age_ms >= self.limit_ms:
@@ -71,6 +75,7 @@
         self._turned_ms = now
         self._good = [value * factor for value in self._good]
         self._bad = [value * factor for value in self._bad]
+        self._silent *= factor
         self._find()
 
     def doubt(self, age_ms: float) -> None:
@@ -90,6 +95,7 @@
         """The step that explains the resets best, if any does: its edge is the limit."""
         good, bad = sum(self._good), sum(self._bad)
         number = good + bad
+        jump = JUMP[1] if self._silent > 0.5 * bad else JUMP[0]
         none = _log_like(bad + YOUNG[0], number + YOUNG[1])
         best, limit = EVIDENCE[0], math.inf
         old_bad = old_number = 0.0
@@ -99,7 +105,7 @@
             if not self._bad[place]:
                 continue
             young_bad, young_number = bad - old_bad + YOUNG[0], number - old_number + YOUNG[1]
-            if old_bad / old_number < young_bad / young_number + JUMP:
+            if old_bad / old_number < young_bad / young_number + jump:
                 continue
             gain = _log_like(young_bad, young_number) + _log_like(old_bad, old_number) - none
             if gain > best:
@@ -127,15 +133,23 @@
         return len(self._boxes)
 
     def learn(
-        self, box: str, kind: str, age_ms: float, stale: bool, now: float, surprise: bool = False
+        self,
+        box: str,
+        kind: str,
+        age_ms: float,
+        stale: bool,
+        now: float,
+        surprise: bool = False,
+        silent: bool = False,
     ) -> None:
-        """`surprise`: one is lost where hardly any is: the box may have changed its mind."""
+        """`surprise`: one is lost where hardly any is: the box may have changed its mind; `silent`: no reset
+        came."""
         for table, name in ((self._boxes, box), (self._kinds, kind)):
             if name not in table:
                 table[name] = Ages(now)
             if surprise:
                 table[name].doubt(age_ms)
-            table[name].learn(age_ms, stale, now)
+            table[name].learn(age_ms, stale, now, silent)
 
     def forget(self, box: str) -> None:
         """The box is gone."""
@@ -165,6 +179,11 @@
             proof += KIND_WEIGHT * kin.proof(age_ms)
         return proof >= times * PROVEN
 
+    def has_lost(self, box: str) -> bool:
+        """A leg was lost on an idle connection to it, not long ago."""
+        own = self._boxes.get(box)
+        return own is not None and own.lost_by(EDGES[-1])
+
     def tick(self, now: float) -> None:
         """Forgets what is old."""
         for table in (self._boxes, self._kinds):
