--- a/lab/proxy.py
+++ b/lab/proxy.py
@@ -17,7 +17,7 @@
         {"name": "adjust", "objective": 500.0, "deadline": 2000.0, "effect": "dedup", "window": 1500.0},
         {"name": "order", "objective": 500.0, "deadline": 2000.0, "effect": "fragile"},
     ],
-    "tenants": [{"name": "acme"}],
+    "tenants": [{"name": "acme"}, {"name": "bravo"}],
     "zones": ["east"],
     "machine-types": ["large", "origin"],
     "membership-mode": "on_request",
