--- a/lab/world.py
+++ b/lab/world.py
@@ -94,7 +94,6 @@
     zipf: Annotated[float, Meta(ge=0.0, le=3.0)] = 0.95
     retries: Annotated[int, Meta(ge=0, le=5)] = 2
     back_off_ms: NotNegative = 50.0
-    connections: Count = 400  # of all clients at one proxy
 
 
 class Discovery(Struct, forbid_unknown_fields=True):
