Drop a reason and a limit of the front's decisions that nothing used

Found on reading the whole change again: Reason.UNREAD and UNREAD_MS were left from a draft; a client that does not read is closed as idle. No behaviour changes; 11 tests of the front pass.

--- a/cloverwell/connections/front.py
+++ b/cloverwell/connections/front.py
@@ -24,7 +24,6 @@
     1900.0  # never asked, or half a command: closed by then, whatever room there is (the platform's 2 s)
 )
 KEEP_MS = 10_000.0  # has asked, and is quiet
-UNREAD_MS = 10_000.0  # no request has so much time: nobody waits for an answer that is not read
 LINGER_MS = 1000.0  # what a client may take to close its side once ours is closed,
 PRESSED_LINGER_MS = 100.0  # and where descriptors are wanted
 GRACE_MS = (40.0, 400.0)  # a new one is never closed for room sooner than the first; no need to wait longer
@@ -51,7 +50,6 @@
     SILENT = "silent"  # never asked
     HALF = "half"  # half a command
     IDLE = "idle"  # asked, and quiet too long
-    UNREAD = "unread"  # does not read its answers
     LINGER = "linger"  # did not close its side after ours
     ROOM = "room"  # asked and quiet, closed for another
 
