--- a/lab/play.py
+++ b/lab/play.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import io
-import json
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -357,6 +356,3 @@
             "wall_s": round(wall_s, 3),
             "simulated_s": self.world.seconds,
         }
-
-    def json(self) -> str:
-        return json.dumps(self.members())
