Keep idle connections to boxes for nine tenths of the time that the settings state

Cause: 40 proxies share the traffic to 60 boxes, so one proxy sees one box every 2.5 s on average, and IDLE_SHARE (service.py) retired each connection after half of the stated time, which is just as long. At 2 proxies the same constant costs nothing.

--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -21,7 +21,7 @@
 TICK_MS = 5.0
 SPARE_DESCRIPTORS = 24  # standard streams, the reactor's own, discovery, and what is closed but not yet free
 ASKING_SHARE = 1.0 / 3.0  # of all descriptors: the platform's clients open no more connections for requests
-IDLE_SHARE = 0.5  # of the time after which a box closes an idle connection: ours are closed well before
+IDLE_SHARE = 0.9  # of the time after which a box closes an idle connection: ours are closed before that
 DRAIN_GRACE_MS = 950.0  # after a box leaves, connections to it may still be opened for so long
 BACKLOG = 512
 FIGURES_MS = 60_000.0  # between the log lines that count what connections did
