Count legs, refusals by reason and discovery's calls in the log, and sum them over a fleet

With 40 proxies the harm of what each does shows only in the sum, and the log had no figures to sum: connections once a minute, nothing else.

The decisions now name the reason of each refusal, and decide as before.

--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -4,6 +4,7 @@
 
 from cloverwell import facade as f
 from cloverwell.authorisation import Attempt, Authorisation, Declined, Failed, Served
+from cloverwell.counts import Counts
 from cloverwell.facade import Facade, Outcome
 from cloverwell.log import Log
 from cloverwell.net.pool import Pools
@@ -16,14 +17,16 @@
 
 
 class Dispatcher:
-    def __init__(self, facade: Facade, wheel: Wheel, pools: Pools, log: Log) -> None:
+    def __init__(self, facade: Facade, wheel: Wheel, pools: Pools, log: Log, counts: Counts) -> None:
         self._facade = facade
         self._wheel = wheel
         self._pools = pools
         self._log = log
+        self._counts = counts
         self._open: dict[str, Authorisation] = {}
         self._settling = False
         self.watch: Callable[[], None] = lambda: None  # the routing table's
+        self.list_age_ms: Callable[[], float] = lambda: 0.0  # the same
         wheel.each_tick = self.settle
 
     @property
@@ -33,15 +36,18 @@
     def take(self, authorisation: Authorisation) -> None:
         """A new authorisation: from here on it gets exactly one final answer."""
         now = self._wheel.now()
+        self._counts.add("taken")
         # `d` counts from the client's send: what the loop was held up may have passed in a socket's buffer.
         authorisation.left_ms -= WAY_MS + self._wheel.lag_ms
         authorisation.deadline_ms = now + authorisation.left_ms
         if authorisation.id in self._open:
             # Ids are never used twice; one that is would mix up two clients' answers.
+            self._counts.add("failed.twice")
             authorisation.finish(Failed())
             return
         bound = self._facade.settings.max_open
         if bound and len(self._open) >= bound:
+            self._counts.add("declined.open")
             authorisation.finish(Declined(self._facade.settings.max_retry_after_ms))
             return
         self._open[authorisation.id] = authorisation
@@ -99,10 +105,12 @@
         match choice:
             case f.Leg():
                 self._start(choice, authorisation)
-            case f.Decline(_, retry_after_ms):
+            case f.Decline(_, retry_after_ms, reason):
+                self._counts.add(f"declined.{reason}")
                 authorisation.finish(Declined(retry_after_ms))
                 self._forget(authorisation)
-            case f.Fail():
+            case f.Fail(_, reason):
+                self._counts.add(f"failed.{reason}")
                 authorisation.finish(Failed())
                 self._forget(authorisation)
 
@@ -115,6 +123,7 @@
             # The boxes drop a repeat for so long: one that waits for a connection must not leave after.
             write_by = min(write_by, authorisation.ran_ms + window)
         pool = self._pools.of(leg.box)
+        self._counts.highest("list.age_ms", self.list_age_ms())
         dear = f.never_twice(settings, authorisation.class_number)
         attempt = Attempt(leg, authorisation, write_by, self._ended, pool, dear, asked_ms=now)
         authorisation.legs[leg.number] = attempt
@@ -126,6 +135,7 @@
 
     def _ended(self, attempt: Attempt, outcome: Outcome, body: bytes) -> None:
         authorisation = attempt.authorisation
+        self._counts.add(f"{attempt.pool.kind}.{outcome.value.value}")
         authorisation.legs.pop(attempt.leg.number, None)
         if outcome not in f.NEVER_RAN and attempt.written_ms is not None:
             authorisation.ran_ms = min(authorisation.ran_ms or attempt.written_ms, attempt.written_ms)
--- a/cloverwell/facade.py
+++ b/cloverwell/facade.py
@@ -64,6 +64,7 @@
 
     authorisation: str
     retry_after_ms: float
+    reason: str = ""  # a word for the counts
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,6 +72,7 @@
     """Final answer that promises nothing."""
 
     authorisation: str
+    reason: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -211,12 +213,12 @@
                 tally.chosen += 1
                 tally.out += 1
                 return Leg(name, box, tally.chosen - 1, timeout_ms)
-            case api.Refuse(name, retry_after_ms):
+            case api.Refuse(name, retry_after_ms, reason):
                 self._forget(name)
-                return Decline(name, retry_after_ms)
-            case api.Fail(name):
+                return Decline(name, retry_after_ms, reason)
+            case api.Fail(name, reason):
                 self._forget(name)
-                return Fail(name)
+                return Fail(name, reason)
             case api.Cancel(name, number):
                 return CallOff(name, number)
             case api.Close(box):
--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -54,6 +54,7 @@
         self._figures = pools.figures
         self.box = box
         self.origin = origin
+        self.kind = "origin" if origin else "cache"
         self.address: tuple[str, int] | None = None
         self.log = pools.log
         self.now = pools.wheel.now
@@ -333,7 +334,7 @@
         if pool is None:
             pool = self._pools[box] = Pool(self, box, origin)
         pool.left = False
-        self.back.named(box, "origin" if origin else "cache", cold_until_ms)
+        self.back.named(box, pool.kind, cold_until_ms)
         if pool.address != (host, port):
             pool.hang_up()
             pool.address = (host, port)
--- a/cloverwell/net/routing_table.py
+++ b/cloverwell/net/routing_table.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.python.failure import Failure
 
+from cloverwell.counts import Counts
 from cloverwell.facade import News, NoNews
 from cloverwell.log import Log
 from cloverwell.net.http import HttpReceiver, request
@@ -70,6 +71,7 @@
         log: Log,
         discovery: tuple[str, int],
         epoch_ms: float,
+        counts: Counts,
     ) -> None:
         """`epoch_ms`: what the wheel's clock showed when Unix time was 0."""
         self.tell: Callable[[News | NoNews], None] = lambda told: None
@@ -80,6 +82,8 @@
         self._log = log
         self._discovery = discovery
         self._epoch_ms = epoch_ms
+        self._counts = counts
+        self._heard_ms = wheel.now()  # discovery's last answer
         self._revision: int | None = None  # None: the whole list is to be asked for
         self._call: Call | None = None
         self._opener: _Opener | None = None
@@ -128,6 +132,10 @@
         # A name that the settings do not have is none of the known ones; it must not be taken for the first.
         return names.index(name) if name in names else len(names)
 
+    def age_ms(self) -> float:
+        """Since discovery's last answer, or the start."""
+        return self._wheel.now() - self._heard_ms
+
     # The watch ---------------------------------------------------------------------------------
 
     def watch(self) -> None:
@@ -135,6 +143,7 @@
         if self._call is not None or self._stopped:
             return
         wait_ms, target = 0.0, "/v1/servers"
+        self._counts.add("list.whole" if self._revision is None else "list.watch")
         if self._revision is not None:
             wait_ms = WAIT_SHARE * self._settings.ask_within_ms
             target += f"?after={self._revision}&wait_ms={int(wait_ms)}"
@@ -182,6 +191,8 @@
             self._take(listing)
         except (msgspec.MsgspecError, TableError, UnicodeDecodeError) as error:
             return self.failed(f"malformed: {error}")
+        self._heard_ms = self._wheel.now()
+        self._counts.add("list.lines", len(listing.members))
         self._end_call()
         # A later call would begin a new watch, and what changed in between be told late.
         self.watch()
@@ -194,6 +205,7 @@
         self._end_call()
         self._hang_up()
         if not self._stopped:
+            self._counts.add("list.failed")
             self._log.warn("discovery", f"call failed: {reason}")
             self.tell(NoNews())
 
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -7,6 +7,7 @@
 from cloverwell.connections.back import Back
 from cloverwell.connections.budget import Budget
 from cloverwell.connections.figures import Figures, What
+from cloverwell.counts import Counts
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.facade import Facade
 from cloverwell.log import Log
@@ -24,6 +25,8 @@
 IDLE_SHARE = 0.9  # of the time after which a box closes an idle connection: ours are closed before that
 DRAIN_GRACE_MS = 950.0  # after a box leaves, connections to it may still be opened for so long
 BACKLOG = 512
+COUNTS_MS = 5_000.0  # between the log lines that count what was done since the last one
+COUNTED = (What.OPENED, What.REFUSED, What.AHEAD, What.STALE, What.RESET)  # of connections, in these too
 FIGURES_MS = 60_000.0  # between the log lines that count what connections did
 ACCEPT_MS = 500.0  # after SIGTERM clients may not have heard yet: new connections are taken for so long
 LINGER_MS = 500.0  # what the last answers may take to leave
@@ -48,6 +51,8 @@
         self._log = log
         self.wheel = Wheel(reactor, settings.granularity_ms, now)
         self.figures = Figures()
+        self.counts = Counts()
+        self._counted = dict.fromkeys(COUNTED, 0)
         self.budget = Budget(config.limits.sockets - SPARE_DESCRIPTORS)
         self.back = Back(IDLE_SHARE * settings.idle_close_ms, DRAIN_GRACE_MS, self.wheel.now())
         self.pools = Pools(
@@ -61,10 +66,14 @@
             settings.legs_per_connection,
             settings.connect_timeout_ms,
         )
-        self.dispatcher = Dispatcher(Facade(settings, config.seed, now), self.wheel, self.pools, log)
-        self.table = RoutingTable(reactor, self.wheel, settings, self.pools, log, config.discovery, epoch_ms)
+        facade = Facade(settings, config.seed, now)
+        self.dispatcher = Dispatcher(facade, self.wheel, self.pools, log, self.counts)
+        self.table = RoutingTable(
+            reactor, self.wheel, settings, self.pools, log, config.discovery, epoch_ms, self.counts
+        )
         self.table.tell = self.dispatcher.news
         self.dispatcher.watch = self.table.watch
+        self.dispatcher.list_age_ms = self.table.age_ms
         asking = int(ASKING_SHARE * config.limits.sockets)
         self.side = AcquirerSide(
             settings, self.dispatcher, self.wheel, log, self.budget, self.figures, asking
@@ -82,6 +91,7 @@
         self.wheel.start()
         self.table.start(self._config.known)
         self._tell_figures()
+        self._tell_counts()
         host, port = self._config.listen
         self._port = self.side.port = listen(self._reactor, host, port, self.side, BACKLOG)
         self._log.info("start", f"{self._config.name or 'proxy'} serves on {host}:{port}")
@@ -91,6 +101,15 @@
             self._log.info("connections", told)
         self.wheel.at(self.wheel.now() + FIGURES_MS, self._tell_figures)
 
+    def _tell_counts(self) -> None:
+        for what, before in self._counted.items():
+            if total := self.figures.total(what) - before:
+                self.counts.add(f"connections.{what.value}", total)
+                self._counted[what] += total
+        if told := self.counts.line():
+            self._log.info("counts", told)
+        self.wheel.at(self.wheel.now() + COUNTS_MS, self._tell_counts)
+
     def reload(self, read: Callable[[], Config]) -> None:
         """The file has been replaced: discovery's address is taken from it, all else at the next start."""
         try:
@@ -132,5 +151,6 @@
             return
         self.table.stop()
         self._log.info("connections", self.figures.line(*What))
+        self._tell_counts()
         self._log.info("stop", "all is answered")
         self._reactor.stop()
--- a/olivestair/api.py
+++ b/olivestair/api.py
@@ -277,6 +277,7 @@
 
     request: str
     retry_after_ms: float = 0.0
+    reason: str = ""  # a word for the counts
 
 
 @dataclass(slots=True)
@@ -284,6 +285,7 @@
     """Final answer that promises nothing of the effect."""
 
     request: str
+    reason: str = ""
 
 
 @dataclass(slots=True)
--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -262,7 +262,7 @@
             self._keys.append(event.key)
             rec.heat = (self._keys.count(event.key) - 1) / HEAT_WINDOW * self._members
         if use <= now or (not event.write and self._drop_early(now, self._pace, rec.excess)):
-            return self._finish(now, rec, RATE_MS)
+            return self._finish(now, rec, "late" if use <= now else "crowded", RATE_MS)
         self._route(now, rec)
 
     def _spent(self, event: api.Request) -> float:
@@ -293,12 +293,12 @@
         if rec.write and self._origins:
             return self._ask_origin(now, rec)
         if not self._may_send(now, rec):
-            return self._finish(now, rec)
+            return self._finish(now, rec, "spent")
         if rec.key in self._fetches and not rec.write:
             return self._park(now, rec)
         server = self._choose(now, rec)
         if server is None:
-            return self._finish(now, rec, RATE_MS) if self._members else self._ask_origin(now, rec)
+            return self._finish(now, rec, "bounds", RATE_MS) if self._members else self._ask_origin(now, rec)
         # Where cancels are permitted `_look` frees it, and a busy server does no work twice.
         self._send(now, rec, server, (rec.use_ms - now) / (1 if self._set.may_cancel else 2))
 
@@ -323,7 +323,7 @@
 
     def _send(self, now: float, rec: Record, server: Server, timeout: float) -> None:
         if not self._may_send(now, rec):  # the one gate of all sends: what waited may be late
-            return self._finish(now, rec)
+            return self._finish(now, rec, "spent")
         if rec.attempts and not rec.prepaid:
             self._resends.append(now)
         rec.prepaid = False
@@ -340,12 +340,12 @@
             self._timers.at(now + QUIET_FACTOR * self._pace.mean_ms, self._look, server)
         self._acts.append(api.Send(rec.id, server.entry.server, max(timeout, self._set.granularity_ms)))
 
-    def _finish(self, now: float, rec: Record, retry_after: float = SLACK_MS) -> None:
+    def _finish(self, now: float, rec: Record, why: str, retry_after: float = SLACK_MS) -> None:
         """The single final answer: a refusal where the rules permit it, since a client may then try again."""
         dropped = rec.cls.effect is Effect.KEYED and rec.cls.group is Group.ALL  # a repeat is, by all servers
         harmless = rec.ran_ms is None or rec.cls.effect is Effect.SAFE or dropped  # nothing is out by now
         wait = min(retry_after, self._set.max_retry_after_ms)
-        self._acts.append(api.Refuse(rec.id, wait) if harmless else api.Fail(rec.id))
+        self._acts.append(api.Refuse(rec.id, wait, why) if harmless else api.Fail(rec.id, why))
         self._end(now, rec)
 
     def _end(self, now: float, rec: Record) -> None:
@@ -398,7 +398,10 @@
             self._ask_origin(now, rec)
         elif not rec.out:
             rec.tried += [server] * (not stale)  # a fresh connection will do
-            (self._finish if len(rec.tried) >= MEMBERS else self._route)(now, rec)
+            if len(rec.tried) >= MEMBERS:
+                self._finish(now, rec, "tried")
+            else:
+                self._route(now, rec)
         if server.origin:
             self._fill_origin(now)
 
@@ -483,14 +486,14 @@
 
     def _ask_origin(self, now: float, rec: Record) -> None:
         if not self._origins or not self._may_send(now, rec):  # also after a time-out at the deadline
-            return self._finish(now, rec)
+            return self._finish(now, rec, "spent")
         if rec.key is not None and not rec.write and not rec.fetching:
             if rec.key in self._fetches:
                 return self._park(now, rec)
             self._fetches[rec.key] = []
             rec.fetching = True
         if not rec.write and self._drop_early(now, self._origin_pace, rec.excess):
-            return self._finish(now, rec, RATE_MS)
+            return self._finish(now, rec, "origin", RATE_MS)
         worth = rec.cls.worth * (self._set.over_share_worth if rec.excess else 1.0)
         heapq.heappush(self._queue, (-worth, now, rec.id, rec))
         self._fill_origin(now)
@@ -507,12 +510,12 @@
         rec.waiting = True
         until = rec.use_ms - self._origin_pace.mean_ms - SLACK_MS
         if ahead > HEAT_WINDOW or until <= now + ahead * self._origin_pace.mean_ms:  # its turn comes too late
-            return self._finish(now, rec)
+            return self._finish(now, rec, "queue")
         self._timers.at(until, self._expire, rec)
 
     def _expire(self, now: float, rec: Record) -> None:
         if rec.waiting and not rec.done:
-            self._finish(now, rec)
+            self._finish(now, rec, "waited")
 
     def _fill_origin(self, now: float) -> None:
         while self._queue and self._origins:
