Keep keys in the zone at home as far as it has the capacity, in a large fleet

The ring knows no zones, so every proxy asks boxes abroad for as many keys as they have tokens; the same spreads each proxy's legs over all 60 boxes, and each pair is idle so long that it needs a new handshake.

Change: two rings, home and abroad, by the settings' zone and price. Keys go to home's ring; where home has less than its part of the fleet's size (15 of 60 boxes for half of the proxies) the others go abroad, to the very boxes that the proxies there ask for them. Fallback goes on abroad.

--- a/olivestair/api.py
+++ b/olivestair/api.py
@@ -100,6 +100,8 @@
     tenants: tuple[Tenant, ...] = ()
     peers_total: int = 1
     origin_kind: int = -1
+    zone: int = 0  # this balancer's own
+    cross_price: float = 0.0  # of an attempt that goes to another zone, in requests' worth
     sizes_fixed: bool = False
     list_pushed: bool = False
     over_share_worth: float = 1.0
@@ -131,10 +133,13 @@
             raise ValueError("classes: at least one is needed")
         if self.peers_total < 1:
             raise ValueError("peers_total: must be at least 1")
+        if not 0 <= self.zone < max(1, len(self.zones)):
+            raise ValueError("zone: must be the place of one of zones")
         if self.max_attempts < 1:
             raise ValueError("max_attempts: must be at least 1")
         if not 0.0 < self.start_capacity <= 1.0:
             raise ValueError("start_capacity: must be over 0 and at most 1")
+        _not_negative("cross_price", self.cross_price)
         _not_negative("over_share_worth", self.over_share_worth)
         _not_negative("warm_up_ms", self.warm_up_ms)
         _not_negative("granularity_ms", self.granularity_ms)
--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -20,6 +20,7 @@
 LOOK_MS = 25.0  # pace of the looks at a server that has been silent so long
 QUIET_SHARE = 0.34  # silence marks at most this part of the ring: more than that is an overload, not deaths
 PROBE_MIN_MS = 15.0  # a probe's mean latency is taken as no less: eight of them outlast most pauses
+ZONE_PEERS = 4  # balancers a zone from which on each asks the servers of its own zone first
 TRIAL_MS = 500.0  # pace of trials of a marked server: a few a death, back within a second
 LONG_MARK_MS = 2000.0  # marked so long, a server has likely restarted: cold until the list says more
 HEAT_WINDOW = 100  # requests of this balancer among which a hot key is told: all balancers see the same mix
@@ -62,7 +63,12 @@
         self._set = settings
         self._rng = Random(seed)
         self._servers: dict[str, Server] = {}
-        self._ring: Ring[Server] = Ring()
+        # Where few balancers share a zone, one that dies sends its traffic to another zone's and doubles it.
+        zones = max(1, len(settings.zones))
+        self._zoned = settings.cross_price > 0 and settings.peers_total >= ZONE_PEERS * zones
+        self._home: Ring[Server] = Ring()
+        self._abroad: Ring[Server] = Ring()  # servers of other zones, where that matters
+        self._home_part = 1.0  # of the keys: as far as home has the capacity
         self._origins: list[Server] = []
         self._members = 0  # servers on the ring
         self._records: dict[str, Record] = {}
@@ -125,7 +131,8 @@
         ready = {entry.server: entry for entry in event.entries if entry.state is ServerState.READY}
         lost = self._servers if event.kind is not ListKind.DELTA else [e.server for e in event.entries]
         for name in [name for name in lost if name in self._servers and name not in ready]:
-            self._ring.remove(self._servers[name])
+            self._home.remove(self._servers[name])
+            self._abroad.remove(self._servers[name])
             self._leave(now, self._servers.pop(name))
         for entry in ready.values():
             self._keep(now, entry)
@@ -162,8 +169,16 @@
         largest = max((s.entry.weight for s in caches), default=1.0)  # weights have no unit
         for server in caches:
             size = server.entry.weight / largest if self._set.sizes_fixed and largest else 1.0
-            self._ring.put(server, server.entry.server, max(1, round(TOKENS * size)))
-        self._ring.settle()
+            far = self._zoned and server.entry.zone != self._set.zone
+            ring, other = (self._abroad, self._home) if far else (self._home, self._abroad)
+            other.remove(server)
+            ring.put(server, server.entry.server, max(1, round(TOKENS * size)))
+        self._home.settle()
+        self._abroad.settle()
+        # Zones have about as many requests, but not as many servers: what home can't carry goes abroad.
+        sizes = [s.entry.weight for s in caches]
+        mine = sum(s.entry.weight for s in caches if s.entry.zone == self._set.zone)
+        self._home_part = len(self._set.zones) * mine / max(sum(sizes), 1e-9) if self._zoned else 1.0
 
     def _share(self, now: float, server: Server) -> float:
         """The part of its tokens that is active: misses and load rise with what it can do."""
@@ -176,14 +191,22 @@
         return warm * room * min(1.0, max(self._pace.mean_ms, CROWD_AIM * self._aim_ms) / kin_ms) ** 2
 
     def _walk(self, now: float, place: int) -> Iterator[Server]:
-        """The one idea: distinct servers clockwise from a point, past tokens that are not active yet."""
-        seen: set[Server] = set()
-        for token, server in self._ring.clockwise(place):
-            if server not in seen and token % 1024 < 1024 * self._share(now, server):  # low bits are a lot
-                seen.add(server)
-                yield server
-                if len(seen) == self._members:
-                    return
+        """The one idea: distinct servers clockwise from a point, past tokens that are not active yet.
+
+        Those at home first, where a crossing has its price; keys that home has no capacity for, abroad."""
+        rings = [self._home, self._abroad]
+        if (place >> 10) % 1024 >= 1024 * self._home_part:
+            rings.reverse()
+        for ring in rings:
+            seen: set[Server] = set()
+            for token, server in ring.clockwise(place):
+                if server not in seen and token % 1024 < 1024 * self._share(
+                    now, server
+                ):  # low bits are a lot
+                    seen.add(server)
+                    yield server
+                    if len(seen) == len(ring):
+                        break
 
     def _choose(self, now: float, rec: Record) -> Server | None:
         """The first member of the preference set with no reason to skip it."""
--- a/olivestair/ring.py
+++ b/olivestair/ring.py
@@ -29,6 +29,10 @@
         self._owners: dict[int, Owner] = {}
         self._tokens: dict[Owner, list[int]] = {}
 
+    def __len__(self) -> int:
+        """How many owners have tokens."""
+        return len(self._tokens)
+
     def put(self, owner: Owner, name: str, number: int) -> None:
         """Gives the owner that many tokens; nothing changes if it has them."""
         if len(self._tokens.get(owner, ())) != number:
--- a/olivestair/settings.py
+++ b/olivestair/settings.py
@@ -77,7 +77,7 @@
     if not isinstance(raw, dict):
         raise SettingsError("settings: must be an object")
     limits, rules = _part(raw, "limits", dict), _part(raw, "guarantees", dict)
-    specifics = _part(raw, "specifics", dict)
+    specifics, prices = _part(raw, "specifics", dict), _part(raw, "prices", dict)
     aside = specifics.get("mode") == "aside"
 
     def limit(name: str, default: float) -> float:
@@ -101,6 +101,8 @@
         machine_types=_names(raw, "machine-types"),
         peers_total=_value(raw, "peers-total", int, default=1),
         origin_kind=_value(specifics, "origin-kind", int, "specifics.", -1) if aside else -1,
+        zone=_value(raw, "zone", int, default=0),
+        cross_price=_value(prices, "cross-zone", float, "prices.", 0.0),
         sizes_fixed=raw.get("weights") == "nominal",
         list_pushed=raw.get("membership-mode") == "pushed",
         over_share_worth=_value(raw, "over-share-worth", float, default=1.0),
