Answer operators on a port of their own, and empty a drained proxy between requests

Design: `serving.py`, without I/O, holds one state (starting, ready, drained, stopping) that `mn`, `/ready`, the port and the ends of connections go by; a drain and SIGTERM empty the process by the same loop with two plans of times. `front/operators.py` parses with h11 and asks three questions of the service; it has descriptors of its own, and at most eight callers for 5 s each.

Not taken: twisted.web, which is there already: +3.3 MB after import and 38 ms, its bare http module +0.8 MB, h11 +0.3 MB and 11 ms, imported only where `operator` is set. Nor a drain that stops listening: the front asks on new connections whether it is over.

`Acquirer._flush` now closes behind the answer, but not while more commands of the same read wait to be handed on.

--- a/cloverwell/__main__.py
+++ b/cloverwell/__main__.py
@@ -43,7 +43,7 @@
 def handle_signals(service: Service, call: Callable[..., object]) -> None:
     """`call` hands a call over to the loop: a signal may come in the middle of anything."""
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: call(service.drain))
+        signal.signal(number, lambda *_: call(service.stop))
     signal.signal(signal.SIGHUP, lambda *_: call(service.reload, lambda: read_config(again=True)))
 
 
@@ -62,7 +62,8 @@
     try:
         service.start(listen)
     except CannotListenError as error:
-        print(f"cloverwell: listen: {error}".replace("\n", " "), file=sys.stderr)
+        field = "operator" if (error.interface, error.port) == config.operator else "listen"
+        print(f"cloverwell: {field}: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     collect_garbage()
     reactor.run(installSignalHandlers=False)
--- a/cloverwell/config.py
+++ b/cloverwell/config.py
@@ -26,6 +26,7 @@
 class File(msgspec.Struct):
     listen: str = ""
     discovery: str = ""
+    operator: str = ""
     name: str = ""
     seed: str = ""
     limits: Limits = msgspec.field(default_factory=Limits)
@@ -41,6 +42,7 @@
     limits: Limits
     known: Listing
     settings: Settings
+    operator: tuple[str, int] | None = None  # where operators call; None: nowhere
 
 
 def read_config(environ: Mapping[str, str] = os.environ, again: bool = False) -> Config:
@@ -64,14 +66,19 @@
     except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
     told = environ.get("EDGE_DISCOVERY") or raw.discovery
+    listen = _address("listen", environ.get("EDGE_LISTEN") or raw.listen)
+    operator = environ.get("EDGE_OPERATOR") or raw.operator
+    if operator and _address("operator", operator) == listen:
+        raise ConfigError("operator: is the address of listen")
     return Config(
         name=environ.get("EDGE_NAME") or raw.name,
-        listen=_address("listen", environ.get("EDGE_LISTEN") or raw.listen),
+        listen=listen,
         discovery=_address("discovery", raw.discovery if again and raw.discovery else told),
         seed=_seed(raw.seed),
         limits=raw.limits,
         known=_known(raw.known),
         settings=settings,
+        operator=_address("operator", operator) if operator else None,
     )
 
 
--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -25,6 +25,7 @@
 PASS_PAUSE_MS = 5.0  # nor behind each piece of what is thrown away once framing is lost
 BUSY_MS = 1000  # how long a client should keep away from a proxy that is short of descriptors
 FAILED = b"SERVER_ERROR failed\r\n"
+NOT_WANTED = b"SERVER_ERROR draining\r\n"
 
 
 class CommandError(Exception):
@@ -91,7 +92,7 @@
             case "mn" if len(words) == 1:
                 self._errors = 0
                 self._side.busy(self)
-                self._say(b"MN\r\n")
+                self._say(b"MN\r\n" if self._side.serving.wanted else NOT_WANTED)
             case "mg":
                 self._read(words)
             case "ms":
@@ -240,6 +241,9 @@
             self._side.quiet(self)
             if self._lost:
                 return self._close_behind()
+            # Who asks again at once would never be seen idle. More may have been read than is handed on yet.
+            if not self._parsing and self._side.lets_go():
+                self.let_go()
         if len(self._turns) >= AHEAD:
             self.hold()
         elif not self._lost and not self._paused:
--- a/cloverwell/net/acquirer_side.py
+++ b/cloverwell/net/acquirer_side.py
@@ -12,6 +12,7 @@
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.log import Log
 from cloverwell.net.acquirer import Acquirer
+from cloverwell.serving import Serving
 from cloverwell.wheel import Wheel
 from olivestair.api import Settings
 
@@ -30,10 +31,12 @@
         budget: Budget,
         figures: Figures,
         asking: int,
+        serving: Serving,
     ) -> None:
         """`asking`: connections that clients open for requests, at the most."""
         self.port: IPushProducer | None = None  # that listens
         self.dispatcher = dispatcher
+        self.serving = serving
         self.wheel = wheel
         self.classes = {cls.name: place for place, cls in enumerate(settings.classes)}
         self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
@@ -161,6 +164,10 @@
         if self._budget.lender(Side.BACK):
             self._close(self.front.for_room(self.wheel.now(), 1, 0), 1)
 
+    def lets_go(self) -> bool:
+        """This process is being emptied: a connection without a request goes."""
+        return self.serving.emptying and self.serving.lets_go(self.wheel.now())
+
     def let_go(self, cut: bool = False) -> None:
         """Each that is between requests; `cut`: also one in the middle of a command."""
         for connection in list(self.connections):
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -17,20 +17,21 @@
 from cloverwell.net.origin_leg import OriginConnection
 from cloverwell.net.pool import Pool, Pools
 from cloverwell.net.routing_table import RoutingTable
+from cloverwell.serving import STOP, Serving, State
 from cloverwell.wheel import Wheel
 
 TICK_MS = 5.0
 SPARE_DESCRIPTORS = 24  # standard streams, the reactor's own, discovery, and what is closed but not yet free
+OPERATOR_DESCRIPTORS = 10  # the operators' port and its callers: they never wait for clients' connections
 ASKING_SHARE = 1.0 / 3.0  # of all descriptors: the platform's clients open no more connections for requests
 IDLE_SHARE = 0.9  # of the time after which a box closes an idle connection: ours are closed before that
 DRAIN_GRACE_MS = 950.0  # after a box leaves, connections to it may still be opened for so long
 BACKLOG = 512
+OPERATOR_BACKLOG = 16
 COUNTS_MS = 5_000.0  # between the log lines that count what was done since the last one
 COUNTED = (What.OPENED, What.REFUSED, What.AHEAD, What.STALE, What.RESET)  # of connections, in these too
 FIGURES_MS = 60_000.0  # between the log lines that count what connections did
-ACCEPT_MS = 500.0  # after SIGTERM clients may not have heard yet: new connections are taken for so long
 LINGER_MS = 500.0  # what the last answers may take to leave
-CLOSE_MS = 750.0  # and what comes on open ones is answered for longer than they may still be used
 
 
 def build(pool: Pool, asked_ms: float) -> BoxConnection:
@@ -53,7 +54,9 @@
         self.figures = Figures()
         self.counts = Counts()
         self._counted = dict.fromkeys(COUNTED, 0)
-        self.budget = Budget(config.limits.sockets - SPARE_DESCRIPTORS)
+        self.serving = Serving()
+        spare = SPARE_DESCRIPTORS + (OPERATOR_DESCRIPTORS if config.operator else 0)
+        self.budget = Budget(config.limits.sockets - spare)
         self.back = Back(IDLE_SHARE * settings.idle_close_ms, DRAIN_GRACE_MS, self.wheel.now())
         self.pools = Pools(
             reactor,
@@ -76,15 +79,15 @@
         self.dispatcher.list_age_ms = self.table.age_ms
         asking = int(ASKING_SHARE * config.limits.sockets)
         self.side = AcquirerSide(
-            settings, self.dispatcher, self.wheel, log, self.budget, self.figures, asking
+            settings, self.dispatcher, self.wheel, log, self.budget, self.figures, asking, self.serving
         )
         # Either side that finds no room asks the other to close what is idle beyond its floor.
         self.pools.borrow = self.side.lend
         self.side.borrow = self.pools.lend
         self._port = None
-        self._draining = False
+        self._operators = None
+        self._emptying = False  # a look is due
         self._linger_until_ms = 0.0
-        self._cut_ms = 0.0
 
     def start(self, listen: Callable = _listen) -> None:
         """Listens only when the list is known: who connects is served."""
@@ -94,6 +97,12 @@
         self._tell_counts()
         host, port = self._config.listen
         self._port = self.side.port = listen(self._reactor, host, port, self.side, BACKLOG)
+        if self._config.operator is not None:
+            from cloverwell.front.operators import Operators  # where nobody calls, nothing is imported for it
+
+            desk = Operators(self, self.wheel, self._log)
+            self._operators = listen(self._reactor, *self._config.operator, desk, OPERATOR_BACKLOG)
+        self.serving.serve()
         self._log.info("start", f"{self._config.name or 'proxy'} serves on {host}:{port}")
 
     def _tell_figures(self) -> None:
@@ -121,34 +130,60 @@
         self._log.info("reload", f"discovery is at {host}:{port}")
         self.table.move(config.discovery)
 
-    def drain(self) -> None:
-        """A planned end: all that was taken is answered, then the program ends."""
-        if self._draining:
-            return
-        self._draining = True
-        self._linger_until_ms = self.wheel.now() + CLOSE_MS + LINGER_MS
-        self._log.info("stop", f"draining, {self.dispatcher.open_count} authorisations open")
-        now = self.wheel.now()
-        self.wheel.not_before(now + ACCEPT_MS, self._stop_listening)
-        self._cut_ms = now + CLOSE_MS
+    # What operators ask ---------------------------------------------------------------------------
 
-    def _stop_listening(self) -> None:
-        if self._port is not None:
-            self._port.stopListening()
-            self.side.port = None
-        self._finish()
+    def ready(self) -> bool:
+        return self.serving.ready
+
+    def drain(self) -> bool:
+        """Empties the proxy; it goes on following discovery, and serves what comes all the same."""
+        done = self.serving.drain(self.wheel.now())
+        self._empty()
+        return done
+
+    def undrain(self) -> bool:
+        return self.serving.undrain()
 
-    def _finish(self) -> None:
-        """Closes clients' connections between requests, until none is left."""
+    # The end --------------------------------------------------------------------------------------
+
+    def stop(self) -> None:
+        """A planned end: all that was taken is answered, then the program ends."""
+        now = self.wheel.now()
+        if self.serving.stop(now):
+            self._log.info("stop", f"draining, {self.dispatcher.open_count} authorisations open")
+            self._linger_until_ms = now + STOP.cut_ms + LINGER_MS
+            self._empty()
+
+    def _empty(self) -> None:
+        """A look each tick while the process is being emptied; more than one caller makes no more of them."""
+        if not self._emptying and self.serving.emptying:
+            self._emptying = True
+            self.wheel.at(self.wheel.now() + self.wheel.granularity_ms, self._look)
+
+    def _look(self) -> None:
         now = self.wheel.now()
-        self.side.let_go(cut=now >= self._cut_ms)
+        self._emptying = False
+        if not self.serving.accepts(now) and self._port is not None:
+            self._port.stopListening()
+            self._port = self.side.port = None
+        if self.serving.lets_go(now):
+            self.side.let_go(cut=self.serving.cuts(now))
+        if self.serving.state is State.STOPPING and self._all_left(now):
+            self._end()
+        else:
+            self._empty()
+
+    def _all_left(self, now: float) -> bool:
         if self.dispatcher.open_count:
-            self._linger_until_ms = max(self._cut_ms, now) + LINGER_MS
+            self._linger_until_ms = max(self._linger_until_ms, now + LINGER_MS)
+            return False
         # A client that does not read its answer must not keep the program from its end.
         lingering = self.side.connections and now < self._linger_until_ms
-        if lingering or self.dispatcher.open_count or now < self._cut_ms:
-            self.wheel.at(now + self.wheel.granularity_ms, self._finish)
-            return
+        return self.serving.cuts(now) and not lingering
+
+    def _end(self) -> None:
+        if self._operators is not None:
+            self._operators.stopListening()
         self.table.stop()
         self._log.info("connections", self.figures.line(*What))
         self._tell_counts()
--- a/lab/play.py
+++ b/lab/play.py
@@ -322,7 +322,7 @@
     def _stop(self, proxy: Proxy, fault: Fault) -> None:
         if fault.kind == "proxy_restart" and proxy.service is not None:
             proxy.draining, proxy.back_s = True, fault.for_s
-            proxy.service.drain()
+            proxy.service.stop()
             self.net.callLater(KILL_S, self._kill_late, proxy, proxy.service)
         else:
             self.kill(proxy)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -8,6 +8,8 @@
     proxy send discovery2                          SIGHUP, with its file replaced (`nonsense`: by a bad one)
     wait 250                                       milliseconds
 
+    operator send PUT /drain                       a caller's whole call; where it holds `|`, as it stands
+
 Parties: `client`, the boxes `s1`, `s2`..., `origin`, `discovery` and `discovery2`; `client#2` is its second
 connection. A box takes a connection when it first expects something. `origin` and `discovery` send HTTP:
 `STATUS [Name: value;]... BODY`, and `++ TEXT` behind it are further bytes that come with it.
@@ -71,7 +73,7 @@
 
 
 class Player:
-    def __init__(self, boxes=1, sockets=1024):
+    def __init__(self, boxes=1, sockets=1024, operator=False):
         self.reactor = MemoryReactorClock()
         self.reactor.advance(100.0)
         self.log = io.StringIO()
@@ -87,6 +89,7 @@
             Limits(sockets=sockets),
             Listing(41, True, members),
             read_settings(SETTINGS),
+            ("127.0.0.1", 11212) if operator else None,
         )
         self.service = Service(self.reactor, config, Log(self.now, self.log), self.now, EPOCH_MS)
         self.service.start()
@@ -115,7 +118,7 @@
             if verb == "send":
                 self.service.reload(lambda: self.reread(text))
             else:
-                self.service.drain() if verb == "close" else self.check(self.reactor.hasStopped, "still runs")
+                self.service.stop() if verb == "close" else self.check(self.reactor.hasStopped, "still runs")
         else:
             name, _, place = party.partition("#")
             getattr(self, verb)(name, int(place or 1) - 1, text)
@@ -135,6 +138,8 @@
         while len(held) <= place:
             if name == "client":
                 factory = self.reactor.tcpServers[0][1]
+            elif name == "operator":
+                factory = self.reactor.tcpServers[1][1]
             else:
                 factory = self.next_asked(name)
                 assert factory is not None, "no connection was asked for"
@@ -155,6 +160,8 @@
     def send(self, name, place, text):
         protocol, _ = self.connection(name, place)
         text, _, more = text.partition(" ++ ")
+        if name == "operator":  # the text is the call's first line, or with `|` its head
+            text = text if "|" in text else f"{text} HTTP/1.1|Host: x|"
         data = text.replace("|", "\r\n") + "\r\n"
         if name in HTTP:
             *headers, body = text.split(" ", 1)[1].split("; ")
@@ -173,7 +180,11 @@
             return self.check(not written, repr(written))
         wanted = text.replace("|", "\r\n")
         # As many lines as are expected; of HTTP the whole, which is one message at a time.
-        size = len(written) if name in HTTP else self.lines(written, wanted.count("\r\n") + 1)
+        size = (
+            len(written)
+            if name in HTTP or name == "operator"
+            else self.lines(written, wanted.count("\r\n") + 1)
+        )
         transport.clear()
         transport.write(written[size:].encode())
         return self.check(fnmatch.fnmatchcase(written[:size].strip(), wanted.strip()), repr(written))
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -139,12 +139,12 @@
     patch.setattr(Authorisation, "info_with", lambda self, wait_ms: self.info)
 
 
-def drops_what_is_open_at_drain(patch):
-    def drain(self):
+def drops_what_is_open_at_its_end(patch):
+    def stop(self):
         for connection in list(self.side.connections):
             connection.transport.abortConnection()
 
-    patch.setattr(service.Service, "drain", drain)
+    patch.setattr(service.Service, "stop", stop)
 
 
 def tries_without_end(patch):
@@ -172,7 +172,7 @@
     (serves_another_value, [], "answered"),
     (forgets_some, [], "answered"),
     (answers_late, [Fault("hang", 0.5, 5.0, 0.5)], "answered"),
-    (drops_what_is_open_at_drain, [Fault("proxy_restart", 2.0, 0.5, 1.0)], "answered"),
+    (drops_what_is_open_at_its_end, [Fault("proxy_restart", 2.0, 0.5, 1.0)], "answered"),
     (tries_without_end, [], "once"),
     (keeps_using_a_drained_box, DRAIN, "drain"),
 ]
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -194,7 +194,7 @@
 
 def test_each_signal_is_handed_to_the_loop_and_none_ends_the_program():
     # SIGHUP had no handler: the first reload ended the proxy with 129.
-    calls, service = [], SimpleNamespace(drain="drain", reload="reload")
+    calls, service = [], SimpleNamespace(stop="stop", reload="reload")
     kept = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)}
     try:
         handle_signals(service, lambda call, *_: calls.append(call))
@@ -203,4 +203,4 @@
     finally:
         for number, handler in kept.items():
             signal.signal(number, handler)
-    assert calls == ["drain", "drain", "reload"]
+    assert calls == ["stop", "stop", "reload"]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -17,7 +17,7 @@
 
 @pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
 def test_scenario(path):
-    player = Player()
+    player = Player(operator=path.stem.startswith("operators"))
     player.play(path.read_text())
     # Whatever happened, nothing is kept of an authorisation once its time is over.
     player.play("wait 2100")
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,102 @@
+"""The serving state under any order of calls, and the operators' port with callers that finish nothing."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from scenario import Player, Transport
+
+from cloverwell.config import ConfigError, read_config
+from cloverwell.front.operators import CALLERS, MAX_BODY, MAX_HEAD
+from cloverwell.serving import DRAIN, STOP, Serving, State
+from lab.proxy import SETTINGS
+
+CALLS = st.lists(
+    st.tuples(st.sampled_from(["serve", "drain", "undrain", "stop"]), st.floats(0.0, 5000.0)), max_size=12
+)
+
+
+@given(CALLS)
+def test_what_follows_from_any_order_of_calls(calls):
+    serving, now, stopped_ms, drained_ms = Serving(), 0.0, None, None
+    for name, step in calls:
+        now += step
+        before = serving.state
+        if name == "serve":
+            serving.serve()
+            assert before is not State.STARTING or serving.state is State.READY
+        elif name == "drain":
+            assert serving.drain(now) == (before in (State.READY, State.DRAINED))
+            drained_ms = now if before is State.READY else drained_ms  # repeated, it does not begin anew
+        elif name == "undrain":
+            assert serving.undrain() == (before in (State.READY, State.DRAINED))
+        else:
+            assert serving.stop(now) == (stopped_ms is None)
+            stopped_ms = now if stopped_ms is None else stopped_ms
+        assert (serving.state is State.STOPPING) == (stopped_ms is not None)
+        assert serving.wanted == (serving.state is State.READY) and (serving.ready or not serving.wanted)
+        assert serving.emptying == (serving.state in (State.DRAINED, State.STOPPING))
+        if serving.state is State.STOPPING:
+            assert serving.accepts(now) == (now - stopped_ms < STOP.accept_ms)
+        else:
+            assert serving.accepts(now)
+        if serving.state is State.DRAINED:
+            assert serving.lets_go(now) == (now - drained_ms >= DRAIN.let_go_ms)
+            assert serving.cuts(now) <= serving.lets_go(now)
+        elif not serving.emptying:
+            assert not serving.lets_go(now) and not serving.cuts(now)
+
+
+def test_callers_that_finish_nothing_never_stand_in_the_way_and_are_bounded():
+    player = Player(operator=True)
+    for place in range(1, 3 * CALLERS):
+        player.play(f"operator#{place} send GET /ready HTTP/1.1|Host: x\noperator#{place} expect nothing")
+        player.play(f"operator#{place + 100} send GET /ready\noperator#{place + 100} expect HTTP/1.1 200 *")
+    operators = player.reactor.tcpServers[1][1]
+    assert len(operators.callers) <= CALLERS
+    player.play("wait 5100")
+    assert not operators.callers
+
+
+@pytest.mark.parametrize("head", ["GET /ready HTTP/1.1|X: " + "y" * 2 * MAX_HEAD, "y" * 2 * MAX_HEAD])
+def test_a_head_without_end_is_refused(head):
+    player = Player(operator=True)
+    player.play(f"operator send {head}|\noperator expect HTTP/1.1 4* *\noperator expect end")
+
+
+def test_a_body_without_end_is_refused():
+    player = Player(operator=True)
+    player.play(f"operator send PUT /drain HTTP/1.1|Host: x|Content-Length: 99999||{'y' * 2 * MAX_BODY}")
+    player.play("operator expect HTTP/1.1 413 *\noperator expect end\nclient send mn\nclient expect MN")
+
+
+def test_a_crowd_of_clients_does_not_shut_operators_out():
+    player = Player(sockets=64, operator=True)
+    player.service.side.port, place = Transport(), 0
+    while player.service.side.may_accept():
+        place += 1
+        player.play(f"client#{place} send ms k 9 O{place} Pc=order,t=acme,d=1900|a")
+    player.play("operator send GET /ready\noperator expect HTTP/1.1 200 *yes")
+
+
+@pytest.mark.parametrize(
+    "variable, field, reads",
+    [
+        ("", "", None),
+        ("", "127.0.0.1:9", ("127.0.0.1", 9)),
+        ("127.0.0.1:8", "127.0.0.1:9", ("127.0.0.1", 8)),
+        ("", "nonsense", ConfigError),
+        ("127.0.0.1:99999", "", ConfigError),
+        ("127.0.0.1:7", "", ConfigError),  # the clients' address
+    ],
+)
+def test_the_operators_address_is_read(tmp_path, variable, field, reads):
+    told = {"listen": "127.0.0.1:7", "discovery": "127.0.0.1:6", "operator": field, "settings": SETTINGS}
+    (tmp_path / "config.json").write_text(json.dumps(told))
+    environ = {"EDGE_CONFIG": str(tmp_path / "config.json"), "EDGE_OPERATOR": variable}
+    if reads is ConfigError:
+        with pytest.raises(ConfigError, match=r"^operator: "):
+            read_config(environ)
+    else:
+        assert read_config(environ).operator == reads
