Let a second process take over the listening socket, the list and its share of descriptors

Design: with `operator` set, the serving process waits at a Unix socket in $TMPDIR (0600, the same user only). A starting one asks there, bounded to 1 s, and gets the very listening socket by SCM_RIGHTS, the routing table, and the descriptors that are left after what is in use. From its yes on it alone accepts; SIGTERM then lets the old one's clients go at once. The end of the conversation gives either side all descriptors back; if the successor dies, the old one accepts again. Messages have a version; what can't be read costs one line, and the address is shared by SO_REUSEPORT instead.

Not taken: SO_REUSEPORT alone. Each process then has a queue of its own, and what waits in the old one's is reset when it closes; there is also no way to divide descriptors, or to know when the other has gone. Nor twisted's listenUNIX: it unlinks its path a turn of the loop after it was closed, when the successor's own socket may stand there.

At fault if left out: tcp.Port shuts a listening socket down when it closes it, which stops it for all who hold it (`BoundedPort.share` prevents that; the test of two replacements under load fails without).

Tests: real processes under load, replaced twice, old one or successor killed, silent, older or cut-off predecessor, garbage, stale socket.

--- a/cloverwell/__main__.py
+++ b/cloverwell/__main__.py
@@ -1,6 +1,7 @@
 """One proxy: `python -m cloverwell`, told what it needs by the environment and its configuration file."""
 
 import gc
+import os
 import resource
 import signal
 import sys
@@ -12,8 +13,10 @@
 from twisted.logger import globalLogBeginner
 
 from cloverwell.config import Config, ConfigError, read_config
+from cloverwell.handover.messages import place
+from cloverwell.handover.successor import ask
 from cloverwell.log import Log
-from cloverwell.net.port import listen
+from cloverwell.net.port import adopt, listen
 from cloverwell.service import Service
 from cloverwell.wheel import monotonic_ms
 
@@ -57,10 +60,14 @@
     log = Log(monotonic_ms)
     globalLogBeginner.beginLoggingTo([log.fault], redirectStandardIO=False)
     # Unix time is compared with the monotonic clock once; a step of it later changes nothing.
-    service = Service(reactor, config, log, monotonic_ms, monotonic_ms() - time.time() * 1000.0)
+    epoch_ms = monotonic_ms() - time.time() * 1000.0
+    # Where processes are replaced beside each other: the same folder for both, as the platform has it.
+    folder = os.environ.get("TMPDIR", "") if config.operator else ""
+    left = ask(place(folder, config.listen), config.listen, log) if folder else None
+    service = Service(reactor, config, log, monotonic_ms, epoch_ms, left)
     handle_signals(service, reactor.callFromThread)
     try:
-        service.start(listen)
+        service.start(listen, adopt, folder)
     except CannotListenError as error:
         field = "operator" if (error.interface, error.port) == config.operator else "listen"
         print(f"cloverwell: {field}: {error}".replace("\n", " "), file=sys.stderr)
--- a/cloverwell/connections/budget.py
+++ b/cloverwell/connections/budget.py
@@ -2,7 +2,8 @@
 
 Each side has a floor, which the other can never take; all between the floors goes to whoever asks first. A
 side that finds no room closes what is idle: its own, or what the other holds beyond its floor (`lender`).
-The invariant, checked at every change: what is held never passes the total, and each side can reach its
+The invariant, checked at every change: what is held never passes the total (but for a while after a smaller
+one has been set), and each side can reach its
 floor whatever the other does.
 """
 
@@ -31,6 +32,7 @@
         """`total`: descriptors for both sides; the floors are shares of it and may not pass 1 together."""
         if total < 2 or front_floor + back_floor > 1.0 or min(front_floor, back_floor) <= 0.0:
             raise ValueError("a budget needs two descriptors, and floors over 0 that do not pass 1")
+        self._shares = (front_floor, back_floor)
         self.total = total
         self.floors = {
             Side.FRONT: max(1, int(front_floor * total)),
@@ -38,6 +40,16 @@
         }
         self.held = {Side.FRONT: 0, Side.BACK: 0}
 
+    def resize(self, total: int) -> None:
+        """Another total, with the same shares; what is held beyond it is given back by and by (`over`)."""
+        fresh = Budget(max(2, total), *self._shares)
+        self.total, self.floors = fresh.total, fresh.floors
+
+    @property
+    def over(self) -> int:
+        """So many more are held than there are to hold."""
+        return max(0, sum(self.held.values()) - self.total)
+
     @property
     def work_cap(self) -> int:
         """So many clients may have requests in hand."""
--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -370,6 +370,11 @@
         pool.retire(connection)
         return True
 
+    def shrink(self) -> None:
+        """The budget has become smaller: what is idle goes."""
+        while self.budget.over and self.lend():
+            pass
+
     def spare_room(self) -> bool:
         """Whether one may be opened that no leg waits for: not with the last descriptors."""
         return self.budget.room(Side.BACK) > AHEAD_ROOM * self.budget.total
--- a/cloverwell/net/port.py
+++ b/cloverwell/net/port.py
@@ -1,6 +1,7 @@
 """A listening port that accepts no more in one turn of the loop than its factory has room for."""
 
 import errno
+import os
 import socket
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -42,6 +43,24 @@
     that turns away is reset, with the request in it. What is not accepted waits in the machine's queue."""
 
     factory: Bounded
+    shared = False  # another process may listen at the same address
+
+    def createInternetSocket(self) -> socket.socket:
+        made = super().createInternetSocket()
+        if self.shared:
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        return made
+
+    def share(self) -> int:
+        """The descriptor, for another process; what waits in the queue waits for both from now on."""
+        self._shouldShutdown = False  # ours is closed at the end, but the socket itself must go on listening
+        return self.fileno()
+
+    def stopListening(self) -> Any:
+        # What waits in the queue would be reset where no other process holds the socket.
+        if self._shouldShutdown:
+            self.doRead()
+        return super().stopListening()
 
     @property
     def numberAccepts(self) -> int:
@@ -52,9 +71,23 @@
         pass
 
 
-def listen(reactor: Any, host: str, port: int, factory: Any, backlog: int) -> BoundedPort:
+def listen(
+    reactor: Any, host: str, port: int, factory: Any, backlog: int, shared: bool = False
+) -> BoundedPort:
     """Raises `CannotListenError`."""
     bounded = BoundedPort(port, factory, backlog, host, reactor)
+    bounded.shared = shared
+    return _start(bounded, factory)
+
+
+def adopt(reactor: Any, descriptor: int, factory: Any) -> BoundedPort:
+    """Listens on the socket of another process; the descriptor is taken."""
+    bounded = BoundedPort._fromListeningDescriptor(reactor, descriptor, socket.AF_INET, factory)
+    os.close(descriptor)  # Twisted has made its own
+    return _start(bounded, factory)
+
+
+def _start(bounded: BoundedPort, factory: Any) -> BoundedPort:
     bounded.startListening()
     bounded.socket = _Guarded(bounded.socket, factory.short_of_descriptors)
     return bounded
--- a/cloverwell/net/routing_table.py
+++ b/cloverwell/net/routing_table.py
@@ -89,6 +89,8 @@
         self._opener: _Opener | None = None
         self._connection: WatchConnection | None = None
         self._stopped = False
+        self._told = 0  # the last revision
+        self._members: dict[str, Member] = {}  # as they were told last
 
     # The list ----------------------------------------------------------------------------------
 
@@ -104,7 +106,8 @@
                 origin = entry.kind == self._settings.origin_kind
                 cold_until = entry.started_ms + self._settings.warm_up_ms if entry.started_ms else -math.inf
                 self._pools.name(entry.server, host, port, origin, cold_until)
-        self._revision = listing.revision
+        self._revision = self._told = listing.revision
+        self._keep(listing)
         self.tell(News(listing.revision, listing.complete, entries, held))
         # Told that a box drains, nothing new may go there: its idle connections are of no more use.
         listed = {entry.server for entry in entries if entry.state is ServerState.READY}
@@ -114,6 +117,19 @@
         for box in leaving:
             self._pools.leave(box)
 
+    def _keep(self, listing: Listing) -> None:
+        if listing.complete:
+            self._members.clear()
+        for member in listing.members:
+            if PHASES[member.phase] is ServerState.GONE:
+                self._members.pop(member.id, None)
+            else:
+                self._members[member.id] = member
+
+    def listing(self) -> Listing:
+        """The whole list, for another process."""
+        return Listing(self._told, True, list(self._members.values()))
+
     def _entry(self, member: Member) -> ServerEntry:
         if member.phase not in PHASES:
             raise TableError(f"unknown phase {member.phase[:60]!r}")
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -1,15 +1,22 @@
 """The parts of one proxy put together, and its end."""
 
+from __future__ import annotations
+
+import socket
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
-from cloverwell.config import Config, ConfigError
+from cloverwell.config import FD_MIN, Config, ConfigError
 from cloverwell.connections.back import Back
-from cloverwell.connections.budget import Budget
+from cloverwell.connections.budget import Budget, Side
 from cloverwell.connections.figures import Figures, What
 from cloverwell.counts import Counts
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.facade import Facade
+from cloverwell.handover.messages import VERSION, Estate, HandoverError, place
+from cloverwell.handover.predecessor import Will
+from cloverwell.handover.successor import Predecessor
 from cloverwell.log import Log
 from cloverwell.net.acquirer_side import AcquirerSide
 from cloverwell.net.box_connection import BoxConnection
@@ -17,12 +24,13 @@
 from cloverwell.net.origin_leg import OriginConnection
 from cloverwell.net.pool import Pool, Pools
 from cloverwell.net.routing_table import RoutingTable
-from cloverwell.serving import STOP, Serving, State
+from cloverwell.serving import HANDED_OVER, STOP, Serving, State
 from cloverwell.wheel import Wheel
 
 TICK_MS = 5.0
 SPARE_DESCRIPTORS = 24  # standard streams, the reactor's own, discovery, and what is closed but not yet free
 OPERATOR_DESCRIPTORS = 10  # the operators' port and its callers: they never wait for clients' connections
+MIN_BUDGET = 8  # connections, however few descriptors there are during a replacement
 ASKING_SHARE = 1.0 / 3.0  # of all descriptors: the platform's clients open no more connections for requests
 IDLE_SHARE = 0.9  # of the time after which a box closes an idle connection: ours are closed before that
 DRAIN_GRACE_MS = 950.0  # after a box leaves, connections to it may still be opened for so long
@@ -38,12 +46,27 @@
     return OriginConnection(pool, asked_ms) if pool.origin else CacheConnection(pool, asked_ms)
 
 
-def _listen(reactor, host: str, port: int, factory: AcquirerSide, backlog: int):
+def _listen(
+    reactor: Any, host: str, port: int, factory: AcquirerSide, backlog: int, shared: bool = False
+) -> Any:
     return reactor.listenTCP(port, factory, backlog=backlog, interface=host)
 
 
+def _adopt(reactor: Any, descriptor: int, factory: AcquirerSide) -> Any:
+    return reactor.adoptStreamPort(descriptor, socket.AF_INET, factory)
+
+
 class Service:
-    def __init__(self, reactor, config: Config, log: Log, now: Callable[[], float], epoch_ms: float) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        config: Config,
+        log: Log,
+        now: Callable[[], float],
+        epoch_ms: float,
+        left: Predecessor | None = None,
+    ) -> None:
+        """`left`: the process that serves in our place as yet, with what it leaves us."""
         # The wheel turns no faster than that; the decisions are told, and keep their distance from deadlines.
         granularity_ms = max(TICK_MS, config.settings.granularity_ms)
         settings = replace(config.settings, granularity_ms=granularity_ms)
@@ -55,8 +78,10 @@
         self.counts = Counts()
         self._counted = dict.fromkeys(COUNTED, 0)
         self.serving = Serving()
-        spare = SPARE_DESCRIPTORS + (OPERATOR_DESCRIPTORS if config.operator else 0)
-        self.budget = Budget(config.limits.sockets - spare)
+        self._left = left
+        self._spare = SPARE_DESCRIPTORS + (OPERATOR_DESCRIPTORS if config.operator else 0)
+        sockets = config.limits.sockets if left is None else min(left.estate.sockets, config.limits.sockets)
+        self.budget = Budget(max(MIN_BUDGET, sockets - self._spare))
         self.back = Back(IDLE_SHARE * settings.idle_close_ms, DRAIN_GRACE_MS, self.wheel.now())
         self.pools = Pools(
             reactor,
@@ -86,23 +111,47 @@
         self.side.borrow = self.pools.lend
         self._port = None
         self._operators = None
+        self._will: Will | None = None
+        self._heir_serves = False
         self._emptying = False  # a look is due
         self._linger_until_ms = 0.0
 
-    def start(self, listen: Callable = _listen) -> None:
-        """Listens only when the list is known: who connects is served."""
+    def start(self, listen: Callable = _listen, adopt: Callable = _adopt, folder: str = "") -> None:
+        """Listens only when the list is known: who connects is served. `folder`: where a successor asks."""
         self.wheel.start()
-        self.table.start(self._config.known)
+        known = self._config.known
+        if self._left is not None and self._left.estate.table.revision > known.revision:
+            known = self._left.estate.table
+        self.table.start(known)
         self._tell_figures()
         self._tell_counts()
         host, port = self._config.listen
-        self._port = self.side.port = listen(self._reactor, host, port, self.side, BACKLOG)
+        if self._left is not None:
+            self._port = adopt(self._reactor, self._left.listening, self.side)
+        else:
+            shared = (
+                self._config.operator is not None
+            )  # where processes are replaced, and none could be asked
+            self._port = listen(self._reactor, host, port, self.side, BACKLOG, shared)
+        self.side.port = self._port
         if self._config.operator is not None:
             from cloverwell.front.operators import Operators  # where nobody calls, nothing is imported for it
 
             desk = Operators(self, self.wheel, self._log)
             self._operators = listen(self._reactor, *self._config.operator, desk, OPERATOR_BACKLOG)
+            if folder:
+                self._will = Will(
+                    self._reactor,
+                    place(folder, self._config.listen),
+                    self._config.listen,
+                    self,
+                    self.wheel,
+                    self._log,
+                )
+                self._will.open()
         self.serving.serve()
+        if self._left is not None:
+            self._left.watch(self._reactor, self._alone)
         self._log.info("start", f"{self._config.name or 'proxy'} serves on {host}:{port}")
 
     def _tell_figures(self) -> None:
@@ -130,6 +179,48 @@
         self._log.info("reload", f"discovery is at {host}:{port}")
         self.table.move(config.discovery)
 
+    # Another process in our place -----------------------------------------------------------------
+
+    def bequeath(self) -> tuple[Estate, int]:
+        """To limits both processes are one: the descriptors are divided, after what is in use here."""
+        if self._port is None:
+            raise HandoverError("it listens no more")
+        full = self._config.limits.sockets
+        used = self.budget.held[Side.FRONT] + self.budget.held[Side.BACK] - len(self.pools.idle)
+        keep = min(full - FD_MIN, max(full // 2, self._spare + used + SPARE_DESCRIPTORS))
+        self._divide(keep)
+        held = self._spare + sum(self.budget.held.values())
+        estate = Estate(VERSION, max(FD_MIN, full - max(keep, held)), self.table.listing())
+        return estate, self._port.share()
+
+    def _divide(self, sockets: int) -> None:
+        self.budget.resize(max(MIN_BUDGET, sockets - self._spare))
+        self.side.front.most = self.budget.most(Side.FRONT)
+        self.pools.shrink()
+
+    def succeeded(self) -> None:
+        """Who connects from now on is the successor's."""
+        self._heir_serves = True
+        self.side.port = None
+        if self._port is not None:
+            self._port.pauseProducing()
+        self._log.info("handover", "the successor serves")
+
+    def bereft(self) -> None:
+        if self.serving.state is State.STOPPING:
+            return
+        self._heir_serves = False
+        self._divide(self._config.limits.sockets)
+        self.side.port = self._port
+        self._port.resumeProducing()
+        self._will.open()
+        self._log.warn("handover", "the successor has gone: all is as it was")
+
+    def _alone(self) -> None:
+        self._left = None
+        self._divide(self._config.limits.sockets)
+        self._log.info("handover", f"the predecessor has gone: {self._config.limits.sockets} descriptors")
+
     # What operators ask ---------------------------------------------------------------------------
 
     def ready(self) -> bool:
@@ -149,7 +240,7 @@
     def stop(self) -> None:
         """A planned end: all that was taken is answered, then the program ends."""
         now = self.wheel.now()
-        if self.serving.stop(now):
+        if self.serving.stop(now, HANDED_OVER if self._heir_serves else STOP):
             self._log.info("stop", f"draining, {self.dispatcher.open_count} authorisations open")
             self._linger_until_ms = now + STOP.cut_ms + LINGER_MS
             self._empty()
@@ -184,6 +275,8 @@
     def _end(self) -> None:
         if self._operators is not None:
             self._operators.stopListening()
+        if self._will is not None:
+            self._will.close()
         self.table.stop()
         self._log.info("connections", self.figures.line(*What))
         self._tell_counts()
--- a/cloverwell/serving.py
+++ b/cloverwell/serving.py
@@ -33,6 +33,8 @@
 # After SIGTERM clients may not have heard yet; what comes on open ones is answered for longer than they may
 # still be used.
 STOP = Plan(accept_ms=500.0, let_go_ms=500.0, cut_ms=750.0)
+# Another process has the port: who is let go finds it there at once.
+HANDED_OVER = Plan(accept_ms=0.0, let_go_ms=0.0, cut_ms=750.0)
 
 
 class Serving:
@@ -74,8 +76,8 @@
 
     @property
     def wanted(self) -> bool:
-        """The answer to `mn`."""
-        return self.state is State.READY
+        """The answer to `mn`, which is asked of an address: another process may serve it by now."""
+        return self.state is State.READY or self._plan is HANDED_OVER
 
     @property
     def emptying(self) -> bool:
