Pass long values on while they come, up to 4 MiB, with back-pressure to the box

At fault: MAX_VALUE in lines.py, cache_leg.py and http.py, and that a value is kept until it is whole.

Design: flow.py, without I/O, joins a leg's connection with a client's: it is opened when the turn of the answer has come, holds the source back while the sink is ahead of its reader, and keeps the last byte until the end is sound. A leg ends as served at the head, which makes it the one final answer.

Not taken: raising MAX_VALUE alone. It mends the refusals, but 20 clients that read slowly would hold 80 MB, and the first byte leaves last.

In a test 12 readers that stall with 4 MiB each are held below 160 KiB each and lose nothing.

Also: half a command is waited for 2.4 s (a client may take 2 s for a head; an error is owed within 3 s).

--- a/cloverwell/authorisation.py
+++ b/cloverwell/authorisation.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cloverwell.facade import Leg, Outcome
+from cloverwell.flow import Flow
 from cloverwell.wheel import Timer
 
 if TYPE_CHECKING:
@@ -15,9 +16,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Served:
-    """`body`: a value for a read, a receipt for a write."""
+    """`body`: a value for a read, a receipt for a write. A flow is a long value that has begun to come: from
+    then on no other leg is made and nothing is declined, and a break ends the client's connection."""
 
-    body: bytes
+    body: bytes | Flow
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,7 +42,7 @@
     leg: Leg
     authorisation: Authorisation
     write_by_ms: float  # no byte of it leaves later
-    done: Callable[[Attempt, Outcome, bytes], None]
+    done: Callable[[Attempt, Outcome, bytes | Flow], None]
     pool: Pool
     dear: bool = False  # it may not run twice: a reset behind its last byte loses the request
     asked_ms: float = 0.0  # when it was asked for
@@ -49,7 +51,7 @@
     written_ms: float | None = None  # when its last byte was handed to the transport
     over: bool = False
 
-    def end(self, outcome: Outcome, body: bytes = b"") -> None:
+    def end(self, outcome: Outcome, body: bytes | Flow = b"") -> None:
         # A late answer or a second break must not be reported again, or reach another authorisation.
         if self.over:
             return
--- a/cloverwell/connections/front.py
+++ b/cloverwell/connections/front.py
@@ -20,9 +20,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-QUIET_MS = (
-    1900.0  # never asked, or half a command: closed by then, whatever room there is (the platform's 2 s)
-)
+QUIET_MS = 1900.0  # never asked: closed by then, whatever room there is (the platform's 2 s)
+HALF_MS = 2400.0  # half a command: a client may take 2 s for it, and is owed an error within 3 s
 KEEP_MS = 10_000.0  # has asked, and is quiet
 LINGER_MS = 1000.0  # what a client may take to close its side once ours is closed,
 PRESSED_LINGER_MS = 100.0  # and where descriptors are wanted
@@ -241,7 +240,7 @@
     def overdue(self, now: float) -> list[Close]:
         """Those whose time is over, however much room there is."""
         found: list[Close] = []
-        lines = ((self._new, QUIET_MS, Reason.SILENT), (self._half, QUIET_MS, Reason.HALF))
+        lines = ((self._new, QUIET_MS, Reason.SILENT), (self._half, HALF_MS, Reason.HALF))
         lines += tuple((line, KEEP_MS, Reason.IDLE) for line in self._quiet)
         for line, most_ms, reason in lines:
             found += [Close(guest, reason) for guest in self._older(line, now, most_ms)]
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -6,6 +6,7 @@
 from cloverwell.authorisation import Attempt, Authorisation, Declined, Failed, Served
 from cloverwell.counts import Counts
 from cloverwell.facade import Facade, Outcome
+from cloverwell.flow import Flow
 from cloverwell.log import Log
 from cloverwell.net.pool import Pools
 from cloverwell.wheel import Wheel
@@ -133,7 +134,7 @@
     def _timed_out(self, attempt: Attempt) -> None:
         attempt.pool.give_up(attempt, Outcome.TIMED_OUT)
 
-    def _ended(self, attempt: Attempt, outcome: Outcome, body: bytes) -> None:
+    def _ended(self, attempt: Attempt, outcome: Outcome, body: bytes | Flow) -> None:
         authorisation = attempt.authorisation
         self._counts.add(f"{attempt.pool.kind}.{outcome.value.value}")
         authorisation.legs.pop(attempt.leg.number, None)
--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -12,6 +12,7 @@
 from twisted.python.failure import Failure
 
 from cloverwell.authorisation import Answer, Authorisation, Declined, Served
+from cloverwell.flow import Flow, Stage
 from cloverwell.net.lines import MAX_LINE, MAX_WRITE, PEEK, RingLineReceiver
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
 FREE_ERRORS, MAX_ERRORS = 8, 24  # malformed commands in a row that cost no pause, and that close a connection
 ERROR_PAUSE_MS = 50.0  # what each of the others costs: the connection is not read for so long
 PASS_PAUSE_MS = 5.0  # nor behind each piece of what is thrown away once framing is lost
+FLOW_PIECE = 32 * 1024  # of what goes out: the transport holds so much while its client does not read
 BUSY_MS = 1000  # how long a client should keep away from a proxy that is short of descriptors
 FAILED = b"SERVER_ERROR failed\r\n"
 NOT_WANTED = b"SERVER_ERROR draining\r\n"
@@ -35,17 +37,19 @@
 class Turn:
     """One command's place in the order of answers."""
 
-    __slots__ = ("authorisation", "data")
+    __slots__ = ("authorisation", "data", "flow")
 
     def __init__(self, data: bytes | None = None) -> None:
         self.data = data
         self.authorisation: Authorisation | None = None
+        self.flow: Flow | None = None  # behind `data`
 
 
 class Acquirer(RingLineReceiver):
     """One client's connection: commands become authorisations, answers leave in the order of the commands."""
 
     in_bytes = MAX_WRITE + 2 * MAX_LINE
+    piece_bytes = FLOW_PIECE
 
     def __init__(self, side: AcquirerSide) -> None:
         super().__init__()
@@ -57,6 +61,7 @@
         self._errors = 0  # malformed commands in a row
         self._paused = False  # for a while, behind an error
         self._begun = False  # a command has begun and is not whole
+        self._flow: Flow | None = None  # the long value that is on its way out
 
     def dataReceived(self, data: bytes) -> None:
         if self.ended or self._lost:
@@ -181,10 +186,15 @@
     def _give(self, turn: Turn, authorisation: Authorisation, answer: Answer) -> None:
         turn.authorisation = None  # each knows the other: a cycle for every request is work for the collector
         turn.data = self._words(authorisation, answer)
+        if isinstance(answer, Served) and isinstance(answer.body, Flow):
+            turn.flow = answer.body
+            turn.flow.wanted = True
         self._flush()
 
     def _words(self, authorisation: Authorisation, answer: Answer) -> bytes:
         match answer:
+            case Served(Flow() as flow):
+                return f"VA {flow.length} O{authorisation.id}\r\n".encode()
             case Served(body) if authorisation.write:
                 return b"HD O" + authorisation.id.encode() + b" c" + body + b"\r\n"
             case Served(body):
@@ -234,9 +244,16 @@
     def _flush(self) -> None:
         """Sends the answers whose turn it is, as far as there is room."""
         while self._turns and self._turns[0].data is not None:
-            if not self.put(self._turns[0].data):
+            turn = self._turns[0]
+            if turn.flow is not None and turn.flow.stage is Stage.ENDED:  # it broke before its turn came
+                turn.data, turn.flow = FAILED, None
+            if not self.put(turn.data):
                 break
-            self._turns.popleft()
+            if turn.flow is not None:
+                turn.data = None
+                self._begin(turn.flow)
+            else:
+                self._turns.popleft()
         if not self._turns:
             self._side.quiet(self)
             if self._lost:
@@ -251,8 +268,36 @@
         return None
 
     def roomMade(self) -> None:
+        if self._flow is not None and len(self._out) <= self._side.ahead() // 2:
+            self._flow.go_on()
         self._flush()
 
+    def _begin(self, flow: Flow) -> None:
+        self._flow = flow
+        self._side.flows += 1
+        flow.open(self._pass_on, self._passed)
+
+    def _pass_on(self, data: bytes) -> None:
+        if not self.put(data):
+            self._end_flow().drop()
+            self.end(abort=True)
+        elif len(self._out) > self._side.ahead():
+            self._flow.hold()
+
+    def _passed(self, whole: bool) -> None:
+        self._end_flow()
+        self._turns.popleft()
+        if whole:
+            self.put(b"\r\n")  # there is room: the ring is larger than what flows are ahead by
+            self._flush()
+        else:
+            self.end()  # behind a part of the value: its client can tell
+
+    def _end_flow(self) -> Flow:
+        flow, self._flow = self._flow, None
+        self._side.flows -= 1
+        return flow
+
     # The end -----------------------------------------------------------------------------------
 
     @property
@@ -310,6 +355,10 @@
         super().connectionLost(reason)
         self._side.closed(self)
         turns, self._turns = self._turns, deque()
+        if self._flow is not None:
+            self._end_flow()
         for turn in turns:
+            if turn.flow is not None:
+                turn.flow.drop()
             if turn.authorisation is not None:
                 self._side.dispatcher.gone(turn.authorisation)
--- a/cloverwell/net/acquirer_side.py
+++ b/cloverwell/net/acquirer_side.py
@@ -10,6 +10,7 @@
 from cloverwell.connections.figures import Figures, What
 from cloverwell.connections.front import TURN, Close, Front, Reason
 from cloverwell.dispatcher import Dispatcher
+from cloverwell.flow import ahead
 from cloverwell.log import Log
 from cloverwell.net.acquirer import Acquirer
 from cloverwell.serving import Serving
@@ -32,8 +33,12 @@
         figures: Figures,
         asking: int,
         serving: Serving,
+        flow_bytes: int,
     ) -> None:
-        """`asking`: connections that clients open for requests, at the most."""
+        """`asking`: connections that clients open for requests, at the most; `flow_bytes`: what may wait here
+        of all long values that are on their way."""
+        self.flows = 0
+        self._flow_bytes = flow_bytes
         self.port: IPushProducer | None = None  # that listens
         self.dispatcher = dispatcher
         self.serving = serving
@@ -168,6 +173,10 @@
         """This process is being emptied: a connection without a request goes."""
         return self.serving.emptying and self.serving.lets_go(self.wheel.now())
 
+    def ahead(self) -> int:
+        """Bytes that a long value may be ahead of its reader."""
+        return ahead(self._flow_bytes, self.flows)
+
     def let_go(self, cut: bool = False) -> None:
         """Each that is between requests; `cut`: also one in the middle of a command."""
         for connection in list(self.connections):
--- a/cloverwell/net/box_connection.py
+++ b/cloverwell/net/box_connection.py
@@ -12,12 +12,14 @@
 from cloverwell.authorisation import Attempt
 from cloverwell.connections.back import Use
 from cloverwell.facade import Outcome
+from cloverwell.flow import Flow
 from cloverwell.net.lines import PEEK, RingLineReceiver
 from cloverwell.wheel import Timer
 
 if TYPE_CHECKING:
     from cloverwell.net.pool import Pool
 
+FLOW_READ = 32 * 1024  # bytes read at once of a long value: so much waits here when its reader is slow
 FRESH_MS = 10.0  # one that came up so lately has not stood idle
 
 
@@ -35,6 +37,9 @@
         self._first_ms = 0.0  # when that leg's first byte was written
         # A leg of which all but the last byte is written: it has not run, and can't yet.
         self._split: tuple[Attempt, bytes, Timer] | None = None
+        self.flow: Flow | None = None  # a long value that is coming
+        self.flow_ms = 0.0  # when a piece of it came last
+        self._last = False  # nothing may follow on it
 
     def command(self, attempt: Attempt) -> bytes:
         """The bytes of an attempt."""
@@ -46,7 +51,7 @@
 
     @property
     def free(self) -> bool:
-        return not (self.ended or self.legs or self._split)
+        return not (self.ended or self.legs or self._split or self.flow)
 
     def age_ms(self, now: float) -> float | None:
         """How long it has stood idle; None on a fresh one."""
@@ -96,10 +101,21 @@
 
     def finish_leg(self, outcome: Outcome, body: bytes = b"") -> None:
         """The oldest leg has its answer."""
+        attempt = self._next_leg()
+        self._go_on()
+        attempt.end(outcome, body)
+
+    def _next_leg(self) -> Attempt:
         attempt = self.legs.popleft()
         self._pool.answered(self._age_ms, self._first_ms)
         self._age_ms, self.served = None, True
-        if not self.legs and self.unparsed:
+        return attempt
+
+    def _go_on(self) -> None:
+        """An answer has ended."""
+        if self._last:
+            self.drop(Outcome.RESET)
+        elif not self.legs and self.unparsed:
             # A second copy or noise behind a good answer would be read as the answer of the next leg.
             self._pool.log.info("answer", f"more than the answer came from {self._pool.box}")
             self.drop(Outcome.RESET)
@@ -107,11 +123,41 @@
             if not self.legs:
                 self.idle_since_ms = self._pool.now()
             self._pool.freed(self)
-        attempt.end(outcome, body)
+
+    # A long value ---------------------------------------------------------------------------------
+
+    def begin(self, length: int) -> None:
+        """The head of the oldest leg's answer is sound, and a long value follows."""
+        attempt = self._next_leg()
+        flow = self.flow = Flow(length, self.hold, self.release, lambda: self.drop(Outcome.RESET))
+        self.flow_ms = self._pool.now()
+        self.transport.bufferSize = FLOW_READ
+        self.expect_pieces(length)
+        self.hold()  # until its turn has come
+        attempt.end(Outcome.SERVED, flow)
+        if not flow.wanted:  # too late, or its client has gone
+            flow.drop()
+
+    def pieceReceived(self, data: bytes) -> None:
+        self.flow_ms = self._pool.now()
+        self.flow.piece(data)
+
+    def end_flow(self) -> None:
+        """All of it has come, and its end is sound."""
+        flow, self.flow = self.flow, None
+        del self.transport.bufferSize  # the class has its own
+        flow.whole()
+        if not self.ended:
+            self._go_on()
+
+    def _break_flow(self) -> None:
+        flow, self.flow = self.flow, None
+        if flow is not None:
+            flow.broken()
 
     def dataReceived(self, data: bytes) -> None:
         super().dataReceived(data)
-        if self._wanted or len(self._in):
+        if self.flow is None and (self._wanted or len(self._in)):
             self._pool.begun[self] = 0
         else:
             self._pool.begun.pop(self, None)
@@ -131,6 +177,12 @@
             return True
         if attempt not in self.legs:
             return False
+        if self.flow is not None:
+            # It stands behind a long value, which goes on; where that ends, so does the connection.
+            self._last = True
+            self.legs.remove(attempt)
+            attempt.end(outcome)
+            return True
         if attempt is self.legs[0] and self not in self._pool.begun:
             self._pool.silent(self._age_ms, self._first_ms)
         self.drop(outcome, attempt)
@@ -141,6 +193,7 @@
         legs, self.legs = self.legs, deque()
         self.end(abort=True)
         self._pool.lost(self)
+        self._break_flow()
         for attempt in legs:
             attempt.end(outcome if attempt is of else Outcome.RESET)
         self._go_elsewhere()
@@ -163,6 +216,7 @@
             torn = not reason.check(ConnectionDone)
             self._pool.broken(self.served, self._age_ms, after, begun, self._split is not None, torn)
         self._pool.lost(self)
+        self._break_flow()
         for attempt in legs:
             attempt.end(Outcome.RESET)
         self._go_elsewhere()
--- a/cloverwell/net/cache_leg.py
+++ b/cloverwell/net/cache_leg.py
@@ -2,8 +2,9 @@
 
 from cloverwell.authorisation import Attempt
 from cloverwell.facade import Outcome
+from cloverwell.flow import LONG, LONGEST
 from cloverwell.net.box_connection import BoxConnection
-from cloverwell.net.lines import MAX_VALUE, FramingError
+from cloverwell.net.lines import FramingError
 
 
 class CacheConnection(BoxConnection):
@@ -20,9 +21,13 @@
             raise FramingError("an answer that no leg waits for")
         words = line.split()
         match words[:1]:
-            case [b"VA"] if len(words) >= 3 and words[1].isdigit() and int(words[1]) <= MAX_VALUE:
+            case [b"VA"] if len(words) >= 3 and words[1].isdigit() and int(words[1]) <= LONGEST:
                 self._check(words[2:], write=False)
-                self.expect_value(int(words[1]) + 2)
+                length = int(words[1])
+                if length > LONG:
+                    self.begin(length)
+                else:
+                    self.expect_value(length + 2)
             case [b"HD"]:
                 self._check(words[1:], write=True)
                 receipts = [word[1:] for word in words[1:] if word.startswith(b"c")]
@@ -39,10 +44,17 @@
             case _:
                 raise FramingError(f"unknown line {line[:60]!r}")
 
+    def pieceReceived(self, data: bytes) -> None:
+        super().pieceReceived(data)
+        if self.flow is not None and not self.flow.left:
+            self.expect_value(2)
+
     def valueReceived(self, data: bytes) -> None:
         if not data.endswith(b"\r\n"):
             raise FramingError("a value without its line end")
-        self.finish_leg(Outcome.SERVED, data[:-2])
+        if self.flow is not None:
+            return self.end_flow()
+        return self.finish_leg(Outcome.SERVED, data[:-2])
 
     def _check(self, flags: list[bytes], write: bool | None = None) -> None:
         # An answer under another id is another request's: it must not reach this one. Nor may a receipt be
--- a/cloverwell/net/http.py
+++ b/cloverwell/net/http.py
@@ -62,11 +62,18 @@
             self._chunked = True
             return None
         length = self._headers.get("content-length", "0" if self._status in (204, 304) else "")
-        if not length.isascii() or not length.isdigit() or int(length) > self.max_body:
+        usable = length.isascii() and length.isdigit()
+        if usable and self.long_body(self._status, self._headers, int(length)):
+            return None
+        if not usable or int(length) > self.max_body:
             raise FramingError("body of no usable length")
         self._left = int(length)
         return self._more()
 
+    def long_body(self, status: int, headers: dict[str, str], length: int) -> bool:
+        """True if the subclass takes the body in pieces (`expect_pieces`); it calls `_reset` behind it."""
+        return False
+
     def _more(self) -> None:
         """A body may be larger than the ring: it comes in pieces."""
         if self._left:
--- a/cloverwell/net/lines.py
+++ b/cloverwell/net/lines.py
@@ -11,7 +11,7 @@
 from cloverwell.net.ring_buffer import RingBuffer
 
 MAX_LINE = 2048
-MAX_VALUE = 1024 * 1024  # of an answer: boxes hold values of 400 KB, whatever is written through us
+MAX_VALUE = 1024 * 1024  # of what is kept until it is whole
 MAX_WRITE = 64 * 1024  # of a client's command
 PEEK = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 PIECE = 64 * 1024  # what the transport is given at once
@@ -33,11 +33,13 @@
     delimiter = b"\r\n"
     MAX_LENGTH = MAX_LINE
     in_bytes = out_bytes = MAX_VALUE + 2 * MAX_LINE
+    piece_bytes = PIECE
 
     def __init__(self) -> None:
         self._in = RingBuffer(self.in_bytes)
         self._out = RingBuffer(self.out_bytes)
         self._wanted = 0  # bytes of the value that the last line announced, its line end included
+        self._flowing = 0  # bytes of a long value that are handed on as they come
         self._rest = 0  # bytes that were read and are not in the ring yet
         self.unparsed = 0  # bytes behind the message in hand
         self._held = False  # the subclass wants no more for now
@@ -82,7 +84,12 @@
         try:
             while place < end and not (self.ended or self._held or self._lost):
                 start = place
-                if self._wanted:
+                if self._flowing:
+                    place = min(end, start + self._flowing)
+                    self._flowing -= place - start
+                    self.unparsed = end - place + self._rest
+                    self.pieceReceived(data[start:place])
+                elif self._wanted:
                     place += self._wanted
                     if place > end:
                         return data[start:]
@@ -106,6 +113,9 @@
     def expect_value(self, number: int) -> None:
         self._wanted = number
 
+    def expect_pieces(self, number: int) -> None:
+        self._flowing = number
+
     def hold(self) -> None:
         """Back-pressure: no more is read or handed on until `release`."""
         if not self._held:
@@ -122,6 +132,9 @@
     def valueReceived(self, data: bytes) -> None:
         raise NotImplementedError
 
+    def pieceReceived(self, data: bytes) -> None:
+        raise NotImplementedError
+
     def framingLost(self, reason: str) -> None:
         raise NotImplementedError
 
@@ -148,7 +161,7 @@
     def _drain(self) -> None:
         self._writing = bool(len(self._out))
         if self._writing:
-            self.transport.write(self._out.read(PIECE))
+            self.transport.write(self._out.read(self.piece_bytes))
 
     def resumeProducing(self) -> None:
         """The transport has sent what it had."""
--- a/cloverwell/net/origin_leg.py
+++ b/cloverwell/net/origin_leg.py
@@ -4,6 +4,7 @@
 
 from cloverwell.authorisation import Attempt
 from cloverwell.facade import Outcome
+from cloverwell.flow import LONG, LONGEST
 from cloverwell.net.box_connection import BoxConnection
 from cloverwell.net.http import HttpReceiver, request
 from cloverwell.net.lines import FramingError
@@ -25,11 +26,30 @@
         host, port = self._pool.address
         return request(method, "/" + quote(authorisation.key), f"{host}:{port}", headers, body)
 
-    def answered(self, status: int, headers: dict[str, str], body: bytes) -> None:
+    def _check(self, headers: dict[str, str]) -> None:
         if not self.legs:
             raise FramingError("an answer that no leg waits for")
         if headers.get("request-id", self.legs[0].authorisation.id) != self.legs[0].authorisation.id:
             raise FramingError("an answer under another id")
+
+    def long_body(self, status: int, headers: dict[str, str], length: int) -> bool:
+        if status != 200 or not LONG < length <= LONGEST:
+            return False
+        self._check(headers)
+        if self.legs[0].authorisation.write:
+            return False
+        self._last = headers.get("connection", "").lower() == "close"
+        self.begin(length)
+        return True
+
+    def pieceReceived(self, data: bytes) -> None:
+        super().pieceReceived(data)
+        if self.flow is not None and not self.flow.left:
+            self._reset()
+            self.end_flow()
+
+    def answered(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        self._check(headers)
         closing = headers.get("connection", "").lower() == "close"
         if closing:
             self.ended = True  # no further leg is written to it
--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -26,6 +26,7 @@
 
 SWEEP_MS = 50.0
 STALL_MS, STALL_LOOKS = 25.0, 4  # an answer that has begun and does not go on for so many looks is given up
+FLOW_STILL_MS = 10_000.0  # a long value of which nothing is given, or taken, is no more waited for
 MAX_WAITING = 256  # legs that wait for a connection to one box
 AHEAD_ROOM = 0.1  # of the descriptors: so many stay free when connections are opened ahead
 MAX_MOVES = 4  # connections that one leg may find closed before its last byte
@@ -126,6 +127,7 @@
             not connection.ended
             and bool(connection.legs)
             and len(legs) <= self._pools.legs_each
+            and connection.flow is None
             and not any(leg.authorisation.write for leg in legs)
         )
 
@@ -252,6 +254,8 @@
 
     def sweep(self, now: float) -> None:
         """Retires what is too old, and opens what will be needed or is waited for."""
+        for connection in [c for c in self.connections if c.flow and now - c.flow_ms >= FLOW_STILL_MS]:
+            connection.framingLost("a long value stands still")
         limit = self._back.idle_limit_ms(self.box)
         while self.idle and now - self.idle[0].idle_since_ms >= limit:
             self.retire(self.idle[0])
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -30,6 +30,7 @@
 TICK_MS = 5.0
 SPARE_DESCRIPTORS = 24  # standard streams, the reactor's own, discovery, and what is closed but not yet free
 OPERATOR_DESCRIPTORS = 10  # the operators' port and its callers: they never wait for clients' connections
+FLOW_SHARE = 0.125  # of the memory: for long values that are ahead of their readers
 MIN_BUDGET = 8  # connections, however few descriptors there are during a replacement
 ASKING_SHARE = 1.0 / 3.0  # of all descriptors: the platform's clients open no more connections for requests
 IDLE_SHARE = 0.9  # of the time after which a box closes an idle connection: ours are closed before that
@@ -103,8 +104,17 @@
         self.dispatcher.watch = self.table.watch
         self.dispatcher.list_age_ms = self.table.age_ms
         asking = int(ASKING_SHARE * config.limits.sockets)
+        flow_bytes = int(FLOW_SHARE * config.limits.memory_mb * 1024 * 1024)
         self.side = AcquirerSide(
-            settings, self.dispatcher, self.wheel, log, self.budget, self.figures, asking, self.serving
+            settings,
+            self.dispatcher,
+            self.wheel,
+            log,
+            self.budget,
+            self.figures,
+            asking,
+            self.serving,
+            flow_bytes,
         )
         # Either side that finds no room asks the other to close what is idle beyond its floor.
         self.pools.borrow = self.side.lend
@@ -265,7 +275,7 @@
             self._empty()
 
     def _all_left(self, now: float) -> bool:
-        if self.dispatcher.open_count:
+        if self.dispatcher.open_count or self.side.flows:
             self._linger_until_ms = max(self._linger_until_ms, now + LINGER_MS)
             return False
         # A client that does not read its answer must not keep the program from its end.
