Cut clients that write slowly only where no place is left, and answer all before SIGKILL

A copy that printed each read showed two kinds: clients that send a piece each 50 to 125 ms for up to 2 s, and a crowd that sends one piece and no more. `Front._halves` named both by age, 0.5 s.

Change: half a command goes under pressure once it has been silent for 0.5 s; one that goes on is named only where clients have used up the connections that they may open for requests (`for_asking`), the oldest first. After SIGTERM all that is open is answered 0.2 s before the platform may kill.

--- a/cloverwell/connections/front.py
+++ b/cloverwell/connections/front.py
@@ -28,7 +28,9 @@
 GRACE_MS = (40.0, 400.0)  # a new one is never closed for room sooner than the first; no need to wait longer
 GRACE_TIMES = 3.0  # that much of the time that nearly all take to their first request
 FIRST_GRACE_MS = 150.0  # while nothing is known
-HALF_GRACE_MS = 500.0  # half a command under pressure
+HALF_GRACE_MS = (
+    500.0  # half a command under pressure: so long silent, or so old where clients have no more places
+)
 SETTLE_MS = 20.0  # an answer's way to its client: nobody is closed for room sooner after one
 SILENT_SHARE = 0.5  # of the clients' part, for those that have not asked yet
 RESERVE_MS = 150.0  # room is kept for the arrivals of so long
@@ -67,6 +69,7 @@
     source: str
     stage: Stage
     since_ms: float  # in this stage
+    heard_ms: float = 0.0  # when bytes came last, of half a command
     asked: int = 0  # requests so far
     waits_ms: float = 0.0  # spared: not named again before then
 
@@ -154,6 +157,11 @@
             return  # its time runs from its connection, its first byte or its answer on: an error wins none
         self._move(guest, entry, stage, now)
 
+    def more(self, guest: Hashable, now: float) -> None:
+        """More bytes of half a command have come."""
+        if (entry := self._guests.get(guest)) is not None:
+            entry.heard_ms = now
+
     def closing(self, guest: Hashable, now: float) -> None:
         """Our side is closed."""
         entry = self._guests.get(guest)
@@ -174,7 +182,7 @@
 
     def _move(self, guest: Hashable, entry: Guest, stage: Stage, now: float) -> None:
         self._leave(guest, entry)
-        entry.stage, entry.since_ms, entry.waits_ms = stage, now, 0.0
+        entry.stage, entry.since_ms, entry.waits_ms, entry.heard_ms = stage, now, 0.0, now
         match stage:
             case Stage.BUSY:
                 self._busy += 1
@@ -271,9 +279,15 @@
 
     def for_asking(self, now: float) -> list[Close]:
         """Those to close so that clients can open as many as will be wanted for requests."""
-        held = self._busy + sum(len(line) for line in self._quiet)
+        # Clients that write slowly ask too; who has sent one piece and no more does not look like one.
+        slow = [guest for guest in self._half if (entry := self._guests[guest]).heard_ms > entry.since_ms]
+        held = self._busy + sum(len(line) for line in self._quiet) + len(slow)
         wanted = min(self.reserve(now), self.asking // 2) - (self.asking - held)
-        return self._quiet_ones(now, max(0, wanted), False)
+        found = self._quiet_ones(now, max(0, wanted), False)
+        # The last places: each that is held by half a command would serve many others meanwhile.
+        wanted = RESERVE[0] - (self.asking - held) - len(found)
+        old = [guest for guest in slow if now - self._guests[guest].since_ms >= HALF_GRACE_MS]
+        return found + [Close(guest, Reason.HALF) for guest in old[: max(0, wanted)]]
 
     def _older(
         self, line: OrderedDict[Hashable, None], now: float, age_ms: float, most: int = 1 << 30
@@ -298,8 +312,11 @@
         return [Close(guest, Reason.SILENT, cut) for guest in old[:most]]
 
     def _halves(self, now: float, most: int, cut: bool) -> list[Close]:
-        old = self._older(self._half, now, HALF_GRACE_MS, most)
-        return [Close(guest, Reason.HALF, False) for guest in old]
+        # A client that writes slowly goes on writing; by age alone it would go before it is done.
+        old = self._older(self._half, now, HALF_GRACE_MS)
+        silent = [guest for guest in old if now - self._guests[guest].heard_ms >= HALF_GRACE_MS]
+        silent.sort(key=lambda guest: self._guests[guest].heard_ms)
+        return [Close(guest, Reason.HALF, False) for guest in silent[:most]]
 
     def _quiet_ones(self, now: float, most: int, cut: bool) -> list[Close]:
         """Longest quiet first, where a group that seldom asks again counts as quiet for longer."""
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -1,5 +1,6 @@
 """Carries the facade's choices out: legs into pools, answers to the acquirer side, calls to discovery."""
 
+import math
 from collections.abc import Callable
 
 from cloverwell import facade as f
@@ -26,6 +27,7 @@
         self._counts = counts
         self._open: dict[str, Authorisation] = {}
         self._settling = False
+        self._close_by_ms = math.inf
         self.watch: Callable[[], None] = lambda: None  # the routing table's
         self.list_age_ms: Callable[[], float] = lambda: 0.0  # the same
         wheel.each_tick = self.settle
@@ -40,6 +42,7 @@
         self._counts.add("taken")
         # `d` counts from the client's send: what the loop was held up may have passed in a socket's buffer.
         authorisation.left_ms -= WAY_MS + self._wheel.lag_ms
+        authorisation.left_ms = min(authorisation.left_ms, self._close_by_ms - now)
         authorisation.deadline_ms = now + authorisation.left_ms
         if authorisation.id in self._open:
             # Ids are never used twice; one that is would mix up two clients' answers.
@@ -58,6 +61,15 @@
         self._carry_out(self._facade.pick(authorisation), authorisation)
         self.settle()
 
+    def close_by(self, when_ms: float) -> None:
+        """The process ends: all that is open, or comes yet, is answered by then."""
+        self._close_by_ms = when_ms
+        self._wheel.at(when_ms - GUARD_MS, self._close)
+
+    def _close(self) -> None:
+        for authorisation in list(self._open.values()):
+            self._overdue(authorisation)
+
     def gone(self, authorisation: Authorisation) -> None:
         """The acquirer side has left: nobody waits for the answer."""
         if authorisation.over:
--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -72,6 +72,8 @@
         begun, self._begun = self._begun, self.halfway
         if self._begun and not begun:
             self._side.quiet(self)  # its time runs from the first byte on: a byte now and then wins nothing
+        elif begun:
+            self._side.more(self)
 
     def _pause(self, wait_ms: float) -> None:
         if not self._paused:
--- a/cloverwell/net/acquirer_side.py
+++ b/cloverwell/net/acquirer_side.py
@@ -128,6 +128,10 @@
         """It has none, from now on; perhaps a part of one."""
         self.front.quiet(connection, self.wheel.now(), connection.halfway)
 
+    def more(self, connection: Acquirer) -> None:
+        """More of half a command has come."""
+        self.front.more(connection, self.wheel.now())
+
     def closing(self, connection: Acquirer) -> None:
         """Our side is closed: the descriptor must come free though the client never closes."""
         self.front.closing(connection, self.wheel.now())
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -24,7 +24,7 @@
 from cloverwell.net.origin_leg import OriginConnection
 from cloverwell.net.pool import Pool, Pools
 from cloverwell.net.routing_table import RoutingTable
-from cloverwell.serving import HANDED_OVER, STOP, Serving, State
+from cloverwell.serving import Serving, State
 from cloverwell.wheel import Wheel
 
 TICK_MS = 5.0
@@ -250,9 +250,10 @@
     def stop(self) -> None:
         """A planned end: all that was taken is answered, then the program ends."""
         now = self.wheel.now()
-        if self.serving.stop(now, HANDED_OVER if self._heir_serves else STOP):
+        longest_ms = max(cls.deadline_ms for cls in self._config.settings.classes)
+        if self.serving.stop(now, longest_ms, self._heir_serves):
             self._log.info("stop", f"draining, {self.dispatcher.open_count} authorisations open")
-            self._linger_until_ms = now + STOP.cut_ms + LINGER_MS
+            self.dispatcher.close_by(self.serving.answers_by_ms())
             self._empty()
 
     def _empty(self) -> None:
@@ -276,11 +277,15 @@
 
     def _all_left(self, now: float) -> bool:
         if self.dispatcher.open_count or self.side.flows:
-            self._linger_until_ms = max(self._linger_until_ms, now + LINGER_MS)
+            self._linger_until_ms = now + LINGER_MS
+            return False
+        if not self.side.connections:
+            return not self.serving.accepts(now)
+        if not self.serving.cuts(now):
+            self._linger_until_ms = now + LINGER_MS
             return False
         # A client that does not read its answer must not keep the program from its end.
-        lingering = self.side.connections and now < self._linger_until_ms
-        return self.serving.cuts(now) and not lingering
+        return now >= self._linger_until_ms
 
     def _end(self) -> None:
         if self._operators is not None:
--- a/cloverwell/serving.py
+++ b/cloverwell/serving.py
@@ -21,26 +21,36 @@
 
 @dataclass(slots=True, frozen=True)
 class Plan:
-    """Since the call, in ms: until when connections are taken, and from when they are closed, and cut."""
+    """Since the call, in ms: until when connections are taken, from when they are closed, and cut, and by
+    when all must have been answered."""
 
     accept_ms: float
     let_go_ms: float
     cut_ms: float
+    answer_ms: float = math.inf
 
 
 # Told within 0.1 s, the front goes on for 0.2 s, and asks on new connections whether the drain is over.
 DRAIN = Plan(accept_ms=math.inf, let_go_ms=400.0, cut_ms=2500.0)
-# After SIGTERM clients may not have heard yet; what comes on open ones is answered for longer than they may
-# still be used.
-STOP = Plan(accept_ms=500.0, let_go_ms=500.0, cut_ms=750.0)
-# Another process has the port: who is let go finds it there at once.
-HANDED_OVER = Plan(accept_ms=0.0, let_go_ms=0.0, cut_ms=750.0)
+# After SIGTERM clients may not have heard yet: new connections are taken for so long, and what comes on open
+# ones is answered for a little longer.
+HEARD_MS, CUT_MS = 500.0, 250.0
+MOST_MS, KILL_MS = 3000.0, 700.0  # SIGKILL: so long after the longest deadline, which counts as no more
+MARGIN_MS = 200.0  # before it
+
+
+def stop_plan(longest_ms: float, handed_over: bool) -> Plan:
+    """`longest_ms`: the longest deadline that clients have; `handed_over`: another process has the port, and
+    who is let go finds it there at once."""
+    heard_ms = 0.0 if handed_over else HEARD_MS
+    return Plan(heard_ms, heard_ms, heard_ms + CUT_MS, min(longest_ms, MOST_MS) + KILL_MS - MARGIN_MS)
 
 
 class Serving:
     def __init__(self) -> None:
         self.state = State.STARTING
         self._plan: Plan | None = None
+        self._handed_over = False
         self._since_ms = 0.0
 
     # What happens: each tells whether it is so now --------------------------------------------------
@@ -60,11 +70,12 @@
             self.state, self._plan = State.READY, None
         return self.state is State.READY
 
-    def stop(self, now: float, plan: Plan = STOP) -> bool:
+    def stop(self, now: float, longest_ms: float, handed_over: bool = False) -> bool:
         """It wins over all else, and is never taken back; False if it has been called before."""
         if self.state is State.STOPPING:
             return False
-        self.state, self._plan, self._since_ms = State.STOPPING, plan, now
+        self._plan, self._handed_over = stop_plan(longest_ms, handed_over), handed_over
+        self.state, self._since_ms = State.STOPPING, now
         return True
 
     # What follows from it ---------------------------------------------------------------------------
@@ -77,7 +88,7 @@
     @property
     def wanted(self) -> bool:
         """The answer to `mn`, which is asked of an address: another process may serve it by now."""
-        return self.state is State.READY or self._plan is HANDED_OVER
+        return self.state is State.READY or self._handed_over
 
     @property
     def emptying(self) -> bool:
@@ -90,6 +101,10 @@
         """Connections are closed between requests."""
         return self._plan is not None and now - self._since_ms >= self._plan.let_go_ms
 
+    def answers_by_ms(self) -> float:
+        """When all must have been answered."""
+        return math.inf if self._plan is None else self._since_ms + self._plan.answer_ms
+
     def cuts(self, now: float) -> bool:
         """So are those with half a command."""
         return self._plan is not None and now - self._since_ms >= self._plan.cut_ms
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -232,3 +232,21 @@
     world.net.run_for(7.0)
     assert clients.how["lost"] <= world.service.figures.by(What.CLOSED_FRONT).get("room", 0)
     assert clients.how["failed"] == 0
+
+
+def test_a_slow_writer_goes_only_where_clients_have_no_place_left():
+    # Seen on a crowd day: 341 of 449 clients that wrote slowly were cut off at half a second, and silent ones
+    # stood beside them.
+    front = Front(100, 30, 0.0)
+    for guest in ("slow", "silent"):
+        front.opened(guest, 0.0)
+        front.quiet(guest, 0.0, True)
+    for now in range(100, 1500, 100):
+        front.more("slow", float(now))
+    assert [close.guest for close in front.for_room(1500.0, 5, 1)] == ["silent"]
+    assert front.for_asking(1500.0) == []
+    for number in range(28):
+        front.opened(number, 1500.0)
+        front.asked(number, 1500.0)
+    assert [close.guest for close in front.for_asking(1500.0)] == ["slow"]
+    assert [close.guest for close in front.overdue(2400.0)] == ["slow", "silent"]
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -9,7 +9,7 @@
 
 from cloverwell.config import ConfigError, read_config
 from cloverwell.front.operators import CALLERS, MAX_BODY, MAX_HEAD
-from cloverwell.serving import DRAIN, STOP, Serving, State
+from cloverwell.serving import DRAIN, Serving, State, stop_plan
 from lab.proxy import SETTINGS
 
 CALLS = st.lists(
@@ -32,13 +32,13 @@
         elif name == "undrain":
             assert serving.undrain() == (before in (State.READY, State.DRAINED))
         else:
-            assert serving.stop(now) == (stopped_ms is None)
+            assert serving.stop(now, 2000.0) == (stopped_ms is None)
             stopped_ms = now if stopped_ms is None else stopped_ms
         assert (serving.state is State.STOPPING) == (stopped_ms is not None)
         assert serving.wanted == (serving.state is State.READY) and (serving.ready or not serving.wanted)
         assert serving.emptying == (serving.state in (State.DRAINED, State.STOPPING))
         if serving.state is State.STOPPING:
-            assert serving.accepts(now) == (now - stopped_ms < STOP.accept_ms)
+            assert serving.accepts(now) == (now - stopped_ms < stop_plan(2000.0, False).accept_ms)
         else:
             assert serving.accepts(now)
         if serving.state is State.DRAINED:
@@ -48,6 +48,15 @@
             assert not serving.lets_go(now) and not serving.cuts(now)
 
 
+@given(st.floats(100.0, 10_000.0), st.booleans())
+def test_a_planned_end_is_over_before_the_platform_kills(longest_ms, handed_over):
+    plan = stop_plan(longest_ms, handed_over)
+    kill_ms = min(longest_ms, 3000.0) + 700.0
+    assert plan.accept_ms <= plan.let_go_ms < plan.cut_ms and plan.answer_ms < kill_ms
+    # What comes last has its whole time, as far as the platform gives it.
+    assert plan.answer_ms - plan.let_go_ms >= min(longest_ms, 3000.0) - 1e-6
+
+
 def test_callers_that_finish_nothing_never_stand_in_the_way_and_are_bounded():
     player = Player(operator=True)
     for place in range(1, 3 * CALLERS):
