Play drains, replacements and long values in the lab, and let the judge catch five defects in them

Change: worlds `drain` (four proxies, a front layer that asks `mn` each 0.1 s and checks that a drained proxy is empty 4 s later and says yes 2 s after the end), `upgrade` (a second process beside each, on the same listening socket, while boxes are replaced) and `bulk` (values of 64 KiB to 4 MiB in pieces of 8 KiB, to clients that read 2 MB a second). Two listeners may share a socket on the virtual network.

Not taken: the handover's own messages in virtual time. They are played by real processes in tests/test_handover.py; here the two processes meet by `bequeath`, `succeeded` and the listener, which is what they decide by.

Five defects are caught: clients never let go, a drain that does not end, an end that drops what is open, long values held back, long values cut at 1 MiB.

--- a/lab/net.py
+++ b/lab/net.py
@@ -204,25 +204,38 @@
     def __init__(self, net: Net, address: Address, factory: Any, owner: object = None) -> None:
         self.net, self.address, self.factory, self.owner = net, address, factory, owner
         self.paused = False
-        self._queue: list[Callable[[], None]] = []
+        self.shares: list[Listener] = [self]  # of one socket, the latest last
+        self._queue: list[Callable[[Listener], None]] = []
 
     def pauseProducing(self) -> None:
         self.paused = True
 
     def resumeProducing(self) -> None:
         self.paused = False
-        queue, self._queue = self._queue, []
+        queue = self._queue[:]
+        self._queue.clear()
         for accept in queue:
             self.accept(accept)
 
-    def accept(self, call: Callable[[], None]) -> None:
-        if self.paused:
+    def accept(self, call: Callable[[Listener], None]) -> None:
+        taker = next((listener for listener in reversed(self.shares) if not listener.paused), None)
+        if taker is None:
             self._queue.append(call)
         else:
-            call()
+            call(taker)
+
+    def share(self) -> Listener:
+        """As `port.BoundedPort`: what another process adopts."""
+        return self
 
     def stopListening(self) -> None:
-        self.net.listeners.pop(self.address, None)
+        """The socket goes on listening while another process has it."""
+        if self in self.shares:
+            self.shares.remove(self)
+        if not self.shares:
+            self.net.listeners.pop(self.address, None)
+        elif self.net.listeners.get(self.address) is self:
+            self.net.listeners[self.address] = self.shares[-1]
 
 
 @implementer(IReactorTCP)
@@ -247,11 +260,19 @@
         listener = self.listeners[interface, port] = Listener(self, (interface, port), factory, owner)
         return listener
 
+    def adopt(self, listening: Listener, factory: Any, owner: object) -> Listener:
+        """Another process listens on the same socket."""
+        listener = Listener(self, listening.address, factory, owner)
+        listening.shares.append(listener)
+        listener.shares, listener._queue = listening.shares, listening._queue
+        self.listeners[listening.address] = listener
+        return listener
+
     def kill(self, owner: object) -> None:
         """The process is gone: its connections are reset and its ports closed, and it hears nothing of it."""
-        for address, listener in list(self.listeners.items()):
+        for listener in [one for held in list(self.listeners.values()) for one in held.shares]:
             if listener.owner is owner:
-                del self.listeners[address]
+                listener.stopListening()
         for end in self._owned.pop(owner, {}):
             if not end.closed:
                 end._deliver(end.other.reset)
@@ -280,13 +301,14 @@
             return
         near = End(self, path.latency_s, (host, 1), address)
         far = End(self, path.latency_s, address, (host, 1))
-        near.owner, far.owner = owner, listener.owner
+        near.owner = owner
         near.other, far.other = far, near
         # The machine accepts by itself; the program takes the connection when it can.
         self.callLater(path.latency_s, self._established, near, factory)
-        listener.accept(lambda: self._accepted(listener, far))
+        listener.accept(lambda taker: self._accepted(taker, far))
 
     def _accepted(self, listener: Listener, far: End) -> None:
+        far.owner = listener.owner
         self._connect(far, listener.factory.buildProtocol(far.getPeer()))
 
     def _established(self, near: End, factory: Any) -> None:
--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -18,6 +18,21 @@
     from lab.play import Play
 
 
+LONG = 64 * 1024
+
+
+def in_pieces(play: Play, transport: Any, data: bytes, done: Any) -> None:
+    """A long answer, a piece now and then."""
+    size = int(1024 * play.world.boxes.piece_kb)
+    if transport.closed:
+        return
+    transport.write(data[:size])
+    if len(data) > size:
+        play.net.callLater(play.world.boxes.piece_ms / 1000.0, in_pieces, play, transport, data[size:], done)
+    else:
+        done()
+
+
 class Node(Factory):
     """What boxes and the origin have in common: jobs on a server, and trouble."""
 
@@ -121,6 +136,7 @@
         self._idle_s = box.now
         self._value: tuple[str, str] | None = None
         self._left = 0
+        self._giving = False  # a long value, piece by piece
 
     def connectionMade(self) -> None:
         self.box.links.add(self)
@@ -130,7 +146,7 @@
         limit = self.box.play.world.boxes.idle_close_s
         if self not in self.box.links:
             return
-        if not self._order and self.box.now - self._idle_s >= limit:
+        if not self._order and not self._giving and self.box.now - self._idle_s >= limit:
             self.transport.loseConnection()
             return
         self.box.play.net.callLater(max(0.05, min(1.0, limit - (self.box.now - self._idle_s))), self._look)
@@ -175,23 +191,32 @@
             box.served(hit, box.now - came_s)
             if hit:
                 body = box.play.body_of(name)
-                entry[1] = f"VA {len(body)} O{name} h1 L{box.report()}\r\n{body}\r\n"
+                entry[1] = f"VA {len(body)} O{name} h1 L{box.report()}\r\n{body}\r\n".encode()
             else:
                 box.play.judge.never_ran(name)
                 box.play.missed(name, box)
-                entry[1] = f"EN O{name} L{box.report()}\r\n"
+                entry[1] = f"EN O{name} L{box.report()}\r\n".encode()
             self._answer()
 
         if box.draining or not box.offer(entry[0], work_s, done):
             box.play.judge.never_ran(name)
-            entry[1] = "SERVER_ERROR busy\r\n"
+            entry[1] = b"SERVER_ERROR busy\r\n"
             self._answer()
 
     def _answer(self) -> None:
-        while self._order and self._order[0][1] is not None:
-            self.transport.write(self._order.pop(0)[1].encode())
+        while self._order and self._order[0][1] is not None and not self._giving:
+            _, answer = self._order.pop(0)
+            if len(answer) > LONG:
+                self._giving = True
+                in_pieces(self.box.play, self.transport, answer, self._given)
+            else:
+                self.transport.write(answer)
         self._idle_s = self.box.now
 
+    def _given(self) -> None:
+        self._giving = False
+        self._answer()
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.box.links.discard(self)
         for job, answer in self._order:
@@ -240,7 +265,15 @@
         lines = [("Content-Length", str(len(data))), *headers]
         out = self._http.send(h11.Response(status_code=status, headers=lines))
         out += self._http.send(h11.Data(data=data)) + self._http.send(h11.EndOfMessage())
-        self.transport.write(out)
+        if len(out) > LONG:
+            in_pieces(self.node.play, self.transport, out, self._go_on)
+        else:
+            self.transport.write(out)
+            self._go_on()
+
+    def _go_on(self) -> None:
+        if not self.open:
+            return
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self._take()
--- a/lab/people.py
+++ b/lab/people.py
@@ -18,6 +18,7 @@
 from twisted.python.failure import Failure
 
 from lab.judge import Case
+from lab.nodes import LONG
 from lab.world import Class, World
 
 if TYPE_CHECKING:
@@ -25,6 +26,7 @@
 
 NOTICE_S = 2.0  # after which the front layer sends no more to a proxy that refuses
 WINDOW_S = 10.0
+HELD_S = 2.0  # the rest of a long value may not be held back for so long
 CROSSED_S = 0.05  # a request that is younger may have crossed the close of its connection
 
 
@@ -50,19 +52,21 @@
     def __init__(self, people: People, proxy: Proxy) -> None:
         self.people, self.proxy = people, proxy
         self.try_: tuple[str, Wish] | None = None
-        self._value = ""
-        self._expects = False
+        self._value = bytearray()
+        self._left = 0  # bytes of a value that is coming
+        self.began_s: float | None = None  # when it began
+        self.heard_s = 0.0  # and went on
+        self._count = 0
 
     def connectionMade(self) -> None:
+        self.people.tills.append(self)
         self.people.up(self)
 
     def lineReceived(self, line: bytes) -> None:
         text = line.decode()
-        if self._expects:
-            self._expects = False
-            return self._end("served", text)
         if text.startswith("VA "):
-            self._expects = True
+            self._left, self.began_s = int(text.split()[1]) + 2, self.people.now
+            self.setRawMode()
             return None
         if text.startswith("HD "):
             return self._end("served", text.split()[-1][1:])
@@ -71,12 +75,32 @@
             return self._end("declined", words[2] if len(words) > 2 else "0")
         return self._end("failed", text)
 
+    def rawDataReceived(self, data: bytes) -> None:
+        taken, rest = data[: self._left], data[self._left :]
+        self._left -= len(taken)
+        self._value += taken
+        self.heard_s = self.people.now
+        if self._left:
+            self._slow_down(len(taken))
+            return
+        value, self._value = bytes(self._value), bytearray()
+        self._end("served", value[:-2].decode() if value.endswith(b"\r\n") else "spoilt")
+        self.setLineMode(rest)
+
+    def _slow_down(self, number: int) -> None:
+        """It reads no faster than its line is."""
+        wait_s = number / 1024.0 / self.people.traffic.read_kb_s
+        if wait_s >= 0.0005:
+            self.transport.pauseProducing()
+            self.people.play.net.callLater(wait_s, self.transport.resumeProducing)
+
     def _end(self, how: str, text: str) -> None:
+        began_s, self.began_s = self.began_s, None
         if self.try_ is None:
             play = self.people.play
             return play.judge.breach("answered", self.people.now, "", "an answer that nobody waits for")
         (name, wish), self.try_ = self.try_, None
-        return self.people.ended(self, name, wish, how, text)
+        return self.people.ended(self, name, wish, how, text, began_s)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.people.down(self)
@@ -105,6 +129,7 @@
         self.wishes: list[Wish] = []
         self.hot = 0.0  # share of the traffic that asks for one key
         self.opening: dict[Till, Wish] = {}
+        self.tills: list[Till] = []
         self._idle: dict[str, list[Till]] = defaultdict(list)
         self._dead: dict[str, float] = {}  # proxy -> since when it refuses
         self._count = 0
@@ -153,7 +178,13 @@
             proxy for proxy in self.play.proxies if self.now - self._dead.get(proxy.name, self.now) < NOTICE_S
         ]
         mine = [proxy for proxy in live if proxy.zone == self.zone]
-        return mine or live or self.play.proxies
+        choice = mine or live or self.play.proxies
+        # Open connections are used for as long as they stand; new ones go where they are wanted.
+        return (
+            [p for p in choice if p.watch.wanted or self._idle[p.name]]
+            or [p for p in live if p.watch.wanted]
+            or choice
+        )
 
     def _try(self, wish: Wish) -> None:
         left = wish.asked_s + wish.cls.deadline_ms / 1000.0 - self.now
@@ -201,18 +232,23 @@
 
     def _overdue(self, till: Till, name: str, wish: Wish) -> None:
         if till.try_ is not None and till.try_[0] == name:
+            if till.began_s is not None and self.now - till.heard_s < HELD_S:  # the rest of a long value
+                self.play.net.callLater(0.5, self._overdue, till, name, wish)
+                return
             self.play.judge.lost(self.now, name, "no answer when its time ran out")
             self._done(name, wish, "unanswered")
             till.try_ = None
             till.transport.abortConnection()
 
-    def ended(self, till: Till, name: str, wish: Wish, how: str, text: str) -> None:
+    def ended(self, till: Till, name: str, wish: Wish, how: str, text: str, began_s: float | None) -> None:
         play, cls = self.play, wish.cls
+        long = len(text) > LONG
+        at_s = began_s if long else self.now  # a long value counts from its first byte
         right = how != "served" or text == (play.receipt_of(name) if cls.write else play.body_of(name))
-        play.judge.answered(self.now, name, how, right)
+        play.judge.answered(at_s, name, how, right)
         play.record("end", name, how)
         self._idle[till.proxy.name].append(till)
-        took_ms = 1000.0 * (self.now - wish.asked_s)
+        took_ms = 1000.0 * (at_s - wish.asked_s)
         if how == "served":
             wish.worth = cls.worth if took_ms <= cls.aim_ms else cls.worth * cls.late_worth
         else:
@@ -238,6 +274,8 @@
         self.play.net.callLater(0.05, self._try, wish)
 
     def down(self, till: Till) -> None:
+        if till in self.tills:
+            self.tills.remove(till)
         if till in self.opening:
             self.refused(till.proxy, self.opening.pop(till))
         idle = self._idle[till.proxy.name]
--- a/lab/play.py
+++ b/lab/play.py
@@ -14,6 +14,7 @@
 from cloverwell.log import Log
 from cloverwell.net.routing_table import Listing, Member
 from cloverwell.service import Service
+from lab.front_layer import Watch
 from lab.judge import RULES, Judge
 from lab.net import Address, Net
 from lab.nodes import Box, Discovery, Origin
@@ -39,6 +40,8 @@
     starts: int = 0
     draining: bool = False
     back_s: float = 0.0  # after a planned end, until it is started again
+    watch: Watch = None  # the front layer's
+    old: Service | None = None  # ends beside the one that has replaced it
 
 
 class Inside:
@@ -66,7 +69,18 @@
         return self._net.listenTCP(port, factory, backlog, interface, self)
 
     def stop(self) -> None:
-        self._play.ended(self._proxy)
+        self._play.ended(self._proxy, self)
+
+
+class Left:
+    """What a process that is replaced leaves its successor, as `handover.successor.Predecessor` has it."""
+
+    def __init__(self, old: Service) -> None:
+        self._old = old
+        self.estate, self.listening = old.bequeath()
+
+    def watch(self, reactor: Inside, gone: Any) -> None:
+        self._old.succeeded()
 
 
 class Play:
@@ -110,7 +124,9 @@
             for number in range(self.world.proxies)
         ]
         for proxy in self.proxies:
+            proxy.watch = Watch(self, proxy)
             self.start(proxy)
+            proxy.watch.ask()
         self.people = [People(self, zone) for zone in range(self.world.zones)]
         self._warm()
         for fault in self.world.faults:
@@ -180,7 +196,7 @@
 
     # Proxies ------------------------------------------------------------------------------------
 
-    def start(self, proxy: Proxy) -> None:
+    def start(self, proxy: Proxy, left: Left | None = None) -> None:
         proxy.starts += 1
         proxy.draining = False
         inside = Inside(self, proxy)
@@ -192,9 +208,31 @@
             read_settings(self.settings(number)),
         )  # fmt: skip
         now = self.net.now_ms
-        proxy.service = Service(inside, config, Log(now, proxy.log), now, -1000.0 * EPOCH_S)
-        proxy.service.inside = inside
-        proxy.service.start()
+        service = Service(inside, config, Log(now, proxy.log), now, -1000.0 * EPOCH_S, left)
+        service.inside = inside
+        proxy.service, proxy.old = service, proxy.service
+        service.start(adopt=lambda _, listening, factory: self.net.adopt(listening, factory, inside))
+
+    def replace(self, proxy: Proxy, for_s: float) -> None:
+        """Another process starts beside it, and takes over; the old one is asked to end after `for_s`."""
+        old = proxy.service
+        if old is not None:
+            left = Left(old)
+            self.start(proxy, left)
+            self.net.callLater(for_s, old.stop)
+            self.net.callLater(for_s + KILL_S, self._gone, proxy, old, "did not end by itself")
+
+    def _gone(self, proxy: Proxy, service: Service, text: str = "") -> None:
+        """The process that has been replaced ends."""
+        if not service.inside.alive:
+            return
+        if text:
+            self.note(f"{proxy.name} {text}")
+        service.inside.alive = False
+        self.net.kill(service.inside)
+        if proxy.old is service:
+            proxy.old = None
+            proxy.service._alone()
 
     def kill(self, proxy: Proxy) -> None:
         if proxy.service is None:
@@ -205,8 +243,11 @@
         proxy.service = None
         self.judge.restarted(proxy.name)
 
-    def ended(self, proxy: Proxy) -> None:
+    def ended(self, proxy: Proxy, inside: Inside) -> None:
         """It has answered all and stops by itself."""
+        if proxy.old is not None and proxy.old.inside is inside:
+            self._gone(proxy, proxy.old)
+            return
         self.kill(proxy)
         self.net.callLater(proxy.back_s, self.start, proxy)
 
@@ -214,7 +255,7 @@
         """It has not ended in the time that a planned end may take."""
         if proxy.service is service:
             self.note(f"{proxy.name} did not end by itself")
-            self.ended(proxy)
+            self.ended(proxy, service.inside)
 
     def proxy_of(self, web: Any) -> str:
         host = web.transport.getPeer().host
@@ -226,7 +267,13 @@
         return self.requests[name][1] if name in self.requests else 0.01
 
     def body_of(self, name: str) -> str:
-        return f"value of {name}"
+        """The same each time, and another for each request; some are long."""
+        traffic = self.world.traffic
+        rng = Random(f"value {self.seed} {name}")
+        if rng.random() >= traffic.long_share:
+            return f"value of {name}"
+        size = int(1024 * rng.uniform(*traffic.long_kb)) + 1
+        return (f"value of {name} " * (1 + size // len(name)))[:size]
 
     def receipt_of(self, name: str) -> str:
         return f"receipt-{name}"
@@ -278,6 +325,15 @@
                 for proxy in self.proxies:
                     if proxy.name in whom:
                         self._stop(proxy, fault)
+            case "proxy_drain" | "proxy_replace":
+                whom = self._whom(fault, names)
+                self.note(f"{fault.kind} {' '.join(whom)}")
+                for proxy in self.proxies:
+                    if proxy.name in whom and proxy.service is not None:
+                        if fault.kind == "proxy_drain":
+                            proxy.watch.drain(fault.for_s)
+                        else:
+                            self.replace(proxy, fault.for_s)
             case "flush":
                 self.note("flush")
                 for box in self.boxes.values():
--- a/lab/world.py
+++ b/lab/world.py
@@ -17,11 +17,22 @@
 NotNegative = Annotated[float, Meta(ge=0.0)]
 Count = Annotated[int, Meta(ge=1, le=100_000)]
 Effect = Literal["retryable", "dedup", "fragile"]
-Kind = Literal["hang", "crash", "drain", "proxy_crash", "proxy_restart", "flush", "hot_key", "discovery_down"]
+Kind = Literal[
+    "hang",
+    "crash",
+    "drain",
+    "proxy_crash",
+    "proxy_restart",
+    "proxy_drain",
+    "proxy_replace",
+    "flush",
+    "hot_key",
+    "discovery_down",
+]
 
 WORLDS = Path(__file__).parent / "worlds"
 ON_BOXES = ("hang", "crash", "drain")
-ON_PROXIES = ("proxy_crash", "proxy_restart")
+ON_PROXIES = ("proxy_crash", "proxy_restart", "proxy_drain", "proxy_replace")
 
 
 class WorldError(Exception):
@@ -48,6 +59,8 @@
     connections: Count = 512
     handshake_ms: NotNegative = 0.5  # the first request on a connection waits so long
     report_every_s: Positive = 0.5
+    piece_kb: Positive = 64.0  # in which long values are given, one each
+    piece_ms: Positive = 1.0
 
 
 class Origin(Struct, forbid_unknown_fields=True):
@@ -92,6 +105,9 @@
     tenants: list[Tenant] = field(default_factory=lambda: [Tenant("north", 0.6), Tenant("south", 0.4)])
     keys: Count = 20_000
     zipf: Annotated[float, Meta(ge=0.0, le=3.0)] = 0.95
+    long_share: Share = 0.0  # of the reads: their values are long
+    long_kb: tuple[Positive, Positive] = (64.0, 1024.0)
+    read_kb_s: Positive = 100_000.0  # what a client reads of a long value
     retries: Annotated[int, Meta(ge=0, le=5)] = 2
     back_off_ms: NotNegative = 50.0
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -14,8 +14,10 @@
 from cloverwell.authorisation import Authorisation, Served
 from cloverwell.cli.main import cli
 from cloverwell.connections.back import Back
+from cloverwell.flow import Flow
 from cloverwell.net.cache_leg import CacheConnection
 from cloverwell.net.pool import Pools
+from cloverwell.serving import Serving
 from lab.cli import lab
 from lab.judge import RULES
 from lab.play import Play
@@ -54,6 +56,28 @@
     assert any(kind.split("_")[0] in text for _, text in summary["notes"])
 
 
+OPERATED = [("drain", 10.0), ("upgrade", 8.0), ("bulk", 3.0)]
+
+
+@pytest.mark.parametrize("name, seconds", OPERATED)
+@pytest.mark.parametrize("seed", [2, 3, 4])
+def test_rules_hold_while_the_proxies_are_operated(name, seconds, seed):
+    world = operated(name, seconds)
+    play = Play(world, seed)
+    summary = play.run()
+    assert not broken(summary), summary["breaches"]
+    assert summary["service"] > 0.9, summary["ends"]
+    if name == "upgrade":  # each process has been replaced, and the old ones have gone by themselves
+        assert all(proxy.starts == 2 and proxy.old is None for proxy in play.proxies)
+        assert not [text for _, text in summary["notes"] if "did not end" in text]
+
+
+def operated(name, seconds):
+    world = load(name)
+    faults = [fault for fault in world.faults if fault.at_s < seconds - 2.0]
+    return short(name, seconds, faults, min(world.traffic.per_s, 200.0))
+
+
 def test_one_seed_gives_one_trace_in_any_process():
     code = (
         "import sys; sys.path.insert(0, 'tests'); from test_lab import short; from lab.play import Play;"
@@ -165,6 +189,33 @@
     patch.setattr(Back, "late", lambda self, box, now: False)
 
 
+def never_lets_clients_go(patch):
+    patch.setattr(Serving, "lets_go", lambda self, now: False)
+
+
+def stays_drained(patch):
+    patch.setattr(Serving, "undrain", lambda self: False)
+
+
+def ends_at_once_when_replaced(patch):
+    drops_what_is_open_at_its_end(patch)
+
+
+def holds_the_rest_of_long_values(patch):
+    patch.setattr(Flow, "go_on", lambda self: None)
+
+
+def cuts_long_values(patch):
+    real = Flow.piece
+
+    def piece(self, data):
+        real(self, data)
+        if self.length - self.left > 1024 * 1024:
+            self.broken()
+
+    patch.setattr(Flow, "piece", piece)
+
+
 CRASH = [Fault("crash", 1.0, 2.0, 0.5)]
 DRAIN = [Fault("drain", 1.0, 0.5, 0.5)]
 MUTANTS = [
@@ -185,6 +236,23 @@
     assert rule in broken(summary), summary["rules"]
 
 
+OPERATED_MUTANTS = [
+    (never_lets_clients_go, "drain", 10.0),
+    (stays_drained, "drain", 10.0),
+    (ends_at_once_when_replaced, "upgrade", 8.0),
+    (holds_the_rest_of_long_values, "bulk", 3.0),
+    (cuts_long_values, "bulk", 3.0),
+]
+
+
+@pytest.mark.parametrize(
+    "mutant, name, seconds", OPERATED_MUTANTS, ids=lambda w: getattr(w, "__name__", None)
+)
+def test_the_judge_catches_what_operators_would(monkeypatch, mutant, name, seconds):
+    mutant(monkeypatch)
+    assert "answered" in broken(Play(operated(name, seconds), 2).run())
+
+
 # Worlds and the command line --------------------------------------------------------------------
 
 
