Move the stand-ins for real processes into the lab, and a world's proxies out of play.py

Change: lab/processes.py (a box, a place, processes, clients on loopback) is used by both; lab/proxies.py holds what a proxy of a world is.

--- a/benchmarks/long_values.py
+++ b/benchmarks/long_values.py
@@ -6,48 +6,22 @@
 """
 
 import argparse
-import json
-import os
+import contextlib
 import socket
-import socketserver
-import subprocess
 import sys
 import tempfile
 import threading
 import time
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from cloverwell.flow import LONGEST  # noqa: E402
-from lab.proxy import SETTINGS  # noqa: E402
+from cloverwell.flow import LONGEST
+from lab.processes import Place
 
-VALUE = b"v" * LONGEST
 PIECE = 16 * 1024  # read at once
 
 
-class Box(socketserver.StreamRequestHandler):
-    def handle(self) -> None:
-        try:
-            for line in self.rfile:
-                name = next(word for word in line.split() if word.startswith(b"O"))
-                self.wfile.write(b"VA %d %s\r\n%s\r\n" % (LONGEST, name, VALUE))
-        except OSError:
-            return
-
-
-class Server(socketserver.ThreadingTCPServer):
-    daemon_threads = allow_reuse_address = True
-    request_queue_size = 256
-
-
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def read_slowly(address: tuple[str, int], number: int, kb_s: float, whole: list[int]) -> None:
     with socket.socket() as client:
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE)
@@ -69,46 +43,21 @@
 
 def measure(readers: int, kb_s: float, memory_mb: float) -> tuple[float, float, int]:
     """Resident memory before and at the most, and how many values came whole."""
-    box = Server(("127.0.0.1", 0), Box)
-    threading.Thread(target=box.serve_forever, daemon=True).start()
-    listen = ("127.0.0.1", free_port())
-    members = [{"id": "s1", "host_port": f"127.0.0.1:{box.server_address[1]}", "flavor": "large"}]
-    told = {
-        "listen": f"{listen[0]}:{listen[1]}",
-        "discovery": f"127.0.0.1:{free_port()}",
-        "limits": {"sockets": 1024, "memory_mb": memory_mb},
-        "known": {"revision": 1, "complete": True, "members": members},
-        "settings": SETTINGS,
-    }
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "config.json"
-        path.write_text(json.dumps(told))
-        environ = os.environ | {"EDGE_CONFIG": str(path)}
-        log = (Path(folder) / "log").open("w")
-        proxy = subprocess.Popen([sys.executable, "-m", "cloverwell"], cwd=ROOT, env=environ, stderr=log)
-        try:
-            while True:
-                try:
-                    socket.create_connection(listen).close()
-                    break
-                except ConnectionRefusedError:
-                    time.sleep(0.05)
-            before, whole = rss_mb(proxy.pid), []
-            clients = [
-                threading.Thread(target=read_slowly, args=(listen, n, kb_s, whole)) for n in range(readers)
-            ]
-            for client in clients:
-                client.start()
-            most = before
-            while any(client.is_alive() for client in clients):
-                most = max(most, rss_mb(proxy.pid))
-                time.sleep(0.02)
-        finally:
-            proxy.kill()
-            proxy.wait()
-            log.close()
-            box.shutdown()
-            box.server_close()
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        contextlib.closing(Place(Path(folder), b"v" * LONGEST, 1024, memory_mb)) as place,
+    ):
+        proxy = place.start().ready().popen
+        before, whole = rss_mb(proxy.pid), []
+        clients = [
+            threading.Thread(target=read_slowly, args=(place.listen, n, kb_s, whole)) for n in range(readers)
+        ]
+        for client in clients:
+            client.start()
+        most = before
+        while any(client.is_alive() for client in clients):
+            most = max(most, rss_mb(proxy.pid))
+            time.sleep(0.02)
     return before, most, len(whole)
 
 
--- /dev/null
+++ b/lab/proxies.py
@@ -0,0 +1,67 @@
+"""A proxy of a world: its processes in the course of a day, and what each sees of the network."""
+
+from __future__ import annotations
+
+import io
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from cloverwell.service import Service
+from lab.net import Address
+
+if TYPE_CHECKING:
+    from lab.front_layer import Watch
+    from lab.play import Play
+
+
+@dataclass
+class Proxy:
+    name: str
+    address: Address
+    zone: int
+    log: io.StringIO = field(default_factory=io.StringIO)
+    service: Service | None = None
+    starts: int = 0
+    draining: bool = False
+    back_s: float = 0.0  # after a planned end, until it is started again
+    watch: Watch = None  # the front layer's
+    old: Service | None = None  # ends beside the one that has replaced it
+
+
+class Inside:
+    """A proxy's own view of the network: its reactor, which dies with it."""
+
+    def __init__(self, play: Play, proxy: Proxy) -> None:
+        self._net, self._play, self._proxy = play.net, play, proxy
+        self.alive = True
+        self.ends: list[Any] = []
+
+    def seconds(self) -> float:
+        return self._net.seconds()
+
+    def callLater(self, delay: float, call: Any, *args: Any, **kw: Any) -> Any:
+        return self._net.callLater(delay, self._guarded, call, args, kw)
+
+    def _guarded(self, call: Any, args: tuple, kw: dict) -> None:
+        if self.alive:
+            call(*args, **kw)
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30.0, bindAddress=None) -> None:
+        self._net.connectTCP(host, port, factory, timeout, (self._proxy.address[0], self))
+
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
+        return self._net.listenTCP(port, factory, backlog, interface, self)
+
+    def stop(self) -> None:
+        self._play.ended(self._proxy, self)
+
+
+class Left:
+    """What a process that is replaced leaves its successor, as `handover.successor.Predecessor` has it."""
+
+    def __init__(self, old: Service) -> None:
+        self._old = old
+        self.estate, self.listening = old.bequeath()
+
+    def watch(self, reactor: Inside, gone: Any) -> None:
+        self._old.succeeded()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,16 +1,12 @@
 """One process takes over from another: real processes on loopback, waited for by what they say."""
 
 import contextlib
-import json
 import os
 import signal
 import socket
-import socketserver
 import subprocess
 import sys
 import threading
-import time
-from http.client import HTTPConnection
 
 import pytest
 from hypothesis import given
@@ -20,107 +16,7 @@
 from cloverwell.handover import messages
 from cloverwell.handover.messages import Estate, HandoverError, Hello
 from cloverwell.net.routing_table import Listing, Member
-from lab.proxy import SETTINGS
-
-PATIENCE_S = 30.0  # for an event that has to come; nothing is measured by it
-
-
-class Box(socketserver.StreamRequestHandler):
-    """Answers each read with its own id."""
-
-    def handle(self):
-        for line in self.rfile:
-            name = next(word for word in line.split() if word.startswith(b"O"))
-            self.wfile.write(b"VA %d %s\r\n%s\r\n" % (len(name), name, name))
-
-
-class Server(socketserver.ThreadingTCPServer):
-    daemon_threads = allow_reuse_address = True
-
-    def handle_error(self, request, client_address):
-        """Processes are killed here: their connections break."""
-
-
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-class Place:
-    """An address to serve at, one box, and the processes that are started there."""
-
-    def __init__(self, folder):
-        self.folder = folder
-        self.listen = ("127.0.0.1", free_port())
-        self.box = Server(("127.0.0.1", 0), Box)
-        threading.Thread(target=self.box.serve_forever, daemon=True).start()
-        members = [{"id": "s1", "host_port": f"127.0.0.1:{self.box.server_address[1]}", "flavor": "large"}]
-        self.config = folder / "config.json"
-        self.config.write_text(json.dumps({
-            "listen": f"127.0.0.1:{self.listen[1]}", "discovery": f"127.0.0.1:{free_port()}",
-            "limits": {"sockets": 256}, "settings": SETTINGS,
-            "known": {"revision": 1, "complete": True, "members": members},
-        }))  # fmt: skip
-        self.processes = []
-        self.path = messages.place(str(folder), self.listen)
-
-    def start(self):
-        process = Process(self)
-        self.processes.append(process)
-        return process
-
-    def close(self):
-        for process in self.processes:
-            process.popen.kill()
-            process.popen.wait()
-        self.box.shutdown()
-        self.box.server_close()
-
-
-class Process:
-    def __init__(self, place):
-        self.operator = ("127.0.0.1", free_port())
-        self.log = place.folder / f"log-{len(place.processes)}"
-        environ = os.environ | {
-            "EDGE_CONFIG": str(place.config), "TMPDIR": str(place.folder),
-            "EDGE_OPERATOR": f"127.0.0.1:{self.operator[1]}",
-        }  # fmt: skip
-        with self.log.open("w") as log:
-            self.popen = subprocess.Popen([sys.executable, "-m", "cloverwell"], env=environ, stderr=log)
-
-    def says(self, text):
-        def said():
-            assert self.popen.poll() is None or text in self.log.read_text(), self.log.read_text()
-            return text in self.log.read_text()
-
-        wait_for(said, text)
-
-    def call(self, method, path):
-        connection = HTTPConnection(*self.operator, timeout=PATIENCE_S)
-        try:
-            connection.request(method, path)
-            return connection.getresponse().status
-        except ConnectionRefusedError:
-            assert self.popen.poll() is None, self.log.read_text()
-            return 0
-        finally:
-            connection.close()
-
-    def ready(self):
-        wait_for(lambda: self.call("GET", "/ready") == 200, "/ready")
-        return self
-
-    def end(self, number):
-        self.popen.send_signal(number)
-        return self.popen.wait(PATIENCE_S)
-
-
-def wait_for(event, what):
-    until = time.monotonic() + PATIENCE_S
-    while not event():
-        assert time.monotonic() < until, f"{what}: never came"
-        time.sleep(0.01)
+from lab.processes import PATIENCE_S, Clients, Place
 
 
 @pytest.fixture
@@ -130,56 +26,6 @@
     here.close()
 
 
-class Clients:
-    """Steady load: each keeps its connection, and sends once more what crossed its close."""
-
-    def __init__(self, address, number=8):
-        self.address = address
-        self.going = True
-        self.answered, self.crossed, self.wrong = 0, 0, []
-        self.threads = [threading.Thread(target=self._ask, args=(n,)) for n in range(number)]
-        for thread in self.threads:
-            thread.start()
-
-    def _ask(self, number):
-        stream, count = None, 0
-        while self.going and not self.wrong:
-            count += 1
-            name, answer = f"O{number}x{count}", b""
-            for _ in range(2):
-                if stream is None:
-                    try:
-                        stream = socket.create_connection(self.address, PATIENCE_S).makefile("rwb")
-                    except OSError as error:
-                        self.wrong.append(error)
-                        return
-                with contextlib.suppress(OSError):
-                    stream.write(f"mg k{count} v {name} Pc=page,t=acme,d=2000\r\n".encode())
-                    stream.flush()
-                    answer = stream.readline()
-                    answer += stream.readline() if answer.startswith(b"VA") else b""
-                if answer:
-                    break
-                self.crossed += 1
-                stream = None
-            # A refusal is an answer too: a busy machine must not fail the test.
-            served = f"VA {len(name)} {name}\r\n{name}\r\n".encode()
-            if answer != served and not answer.startswith(b"SERVER_ERROR busy"):
-                self.wrong.append(answer)
-            self.answered += 1
-            time.sleep(0.001)
-
-    def more(self, number=200):
-        wanted = self.answered + number
-        wait_for(lambda: self.answered >= wanted or self.wrong, "answers")
-
-    def stop(self):
-        self.going = False
-        for thread in self.threads:
-            thread.join()
-        assert not self.wrong, self.wrong[:3]
-
-
 def test_a_successor_takes_over_under_load_and_nothing_is_lost(place):
     old = place.start().ready()
     clients = Clients(place.listen)
