Fetch what no warm box may take from the origin while others are cold, not refuse it

Cause: `_choose` (decide.py) skips a cold box that is not the first on the key's walk, which is right: what jammed ones leave would push it over. With most boxes cold the few warm ones reach their bounds, none is left, and `_route` refused the read at once.

Change: where a listed box is cold, such a read goes to the origin, whose own bound and queue hold it. Without a cold box it is refused as before.

A rule test fails without the change.

--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -190,6 +190,9 @@
             kin_ms, room = max(kin.mean_ms for kin in self._kinds.values()), (1.0 - self._full) ** 2
         return warm * room * min(1.0, max(self._pace.mean_ms, CROWD_AIM * self._aim_ms) / kin_ms) ** 2
 
+    def _warm(self, now: float, server: Server) -> bool:
+        return now >= server.warm_from_ms + self._set.warm_up_ms
+
     def _walk(self, now: float, place: int) -> Iterator[Server]:
         """The one idea: distinct servers clockwise from a point, past tokens that are not active yet.
 
@@ -221,8 +224,7 @@
             if server in rec.tried:
                 continue
             # What jammed and dead servers leave, or a hot key, would push a cold one over.
-            cold = now < server.warm_from_ms + self._set.warm_up_ms
-            if cold and (place or rec.heat > HEAT_MAX * self._share(now, server)):
+            if not self._warm(now, server) and (place or rec.heat > HEAT_MAX * self._share(now, server)):
                 continue
             if server.missed_ms is not None or self._drop_early(now, server.pace):
                 # In a large fleet most requests to a dead server would be trials: a probe, where permitted.
@@ -321,7 +323,9 @@
             return self._park(now, rec)
         server = self._choose(now, rec)
         if server is None:
-            return self._finish(now, rec, "bounds", RATE_MS) if self._members else self._ask_origin(now, rec)
+            # Cold servers leave the others too much: the origin's queue takes it, as far as it may.
+            full = all(self._warm(now, s) for s in self._servers.values()) and self._members
+            return self._finish(now, rec, "bounds", RATE_MS) if full else self._ask_origin(now, rec)
         # Where cancels are permitted `_look` frees it, and a busy server does no work twice.
         self._send(now, rec, server, (rec.use_ms - now) / (1 if self._set.may_cancel else 2))
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -701,3 +701,19 @@
         d.pass_time(40)
         d.serve(d.ask(f"k{i}"), 20.0)
     assert next(iter(d.balancer._servers.values())).limit >= 20.0
+
+
+@pytest.mark.parametrize("cold", [True, False])
+def test_what_no_warm_server_may_take_goes_to_the_origin_while_others_are_cold(drive, cold):
+    # Seen on a herd day (seed 11): after a release 330 of 3,051 reads were refused since no box might take
+    # them, while the origin, which held back nothing, had room.
+    d = drive(servers=6, seed=3, start_capacity=0.32, warm_up_ms=8700.0)
+    started = d.now if cold else 0.0
+    d.list(api.ListKind.DELTA, [api.ServerEntry(f"s{i}", started_ms=started) for i in range(1, 6)])
+    names = [d.ask(f"x{i}", cls=3) for i in range(400)]
+    refused = [name for name in names if name in d.ended]
+    fetched = [name for name in names if d.sends.get(name, [""])[0] == "origin"]
+    if cold:
+        assert fetched and len(fetched) <= d.balancer._servers["origin"].limit
+    else:
+        assert not fetched and refused
