Play a herd, a lost zone and a joining fleet in the lab, before a discovery of few calls

Change: worlds `herd` (seven of ten proxies killed during a release), `zone` (a zone's boxes say nothing for 4 s and return cold) and `join` (six in ten boxes replaced within 7 s), 16 proxies and 24 boxes each; discovery works through 20 calls a second, and fails one that would wait over 1 s. Counted besides: calls, failed ones, and first calls in a tenth of a second.

Tried and not kept: showing an undivided cold limit in `join` itself.

--- a/cloverwell/cli/main.py
+++ b/cloverwell/cli/main.py
@@ -57,7 +57,8 @@
     except proxy_config.ConfigError as error:
         refuse(f"{file}: {error}")
     host, port = config.listen
-    click.echo(f"{file}: good; listens on {host}:{port}, {len(config.known.members)} known members")
+    at = "" if config.operator is None else f", operators call {config.operator[0]}:{config.operator[1]}"
+    click.echo(f"{file}: good; listens on {host}:{port}{at}, {len(config.known.members)} known members")
 
 
 @cli.group()
--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -233,6 +234,7 @@
         self._request: h11.Request | None = None
         self._body = b""
         self.open = True
+        self.used = False
 
     def connectionMade(self) -> None:
         self.node.links.add(self)
@@ -335,11 +337,28 @@
         self.revision = 1
         self._waiting: list[tuple[Web, str, int]] = []
         self._changed: dict[str, int] = {}
+        self._free_s = 0.0  # when all calls that have come are worked through
+        self.calls: Counter[int] = Counter()  # by second
+        self.begun: Counter[int] = Counter()  # on new connections, by tenth of a second
+        self.failed = 0
 
     def buildProtocol(self, addr: Any) -> Web:
         return Web(self)
 
     def asked(self, web: Web, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
+        settings, now = self.play.world.discovery, self.now
+        self.calls[int(now)] += 1
+        if not web.used:
+            self.begun[int(10.0 * now)] += 1
+        web.used = True
+        if self._free_s - now > settings.wait_s:
+            self.failed += 1
+            self.play.net.callLater(settings.wait_s, web.answer, 503, "")
+            return
+        self._free_s = max(now, self._free_s) + 1.0 / settings.calls_per_s
+        self.play.net.callLater(self._free_s - now, self._work, web, target, headers)
+
+    def _work(self, web: Web, target: str, headers: dict[str, str]) -> None:
         proxy = headers.get("host", "")
         query = dict(part.split("=") for part in target.partition("?")[2].split("&") if "=" in part)
         if "after" not in query:
--- a/lab/play.py
+++ b/lab/play.py
@@ -215,8 +215,8 @@
     def body_of(self, name: str) -> str:
         """The same each time, and another for each request; some are long."""
         traffic = self.world.traffic
-        rng = Random(f"value {self.seed} {name}")
-        if rng.random() >= traffic.long_share:
+        rng = Random(f"value {self.seed} {name}") if traffic.long_share else None
+        if rng is None or rng.random() >= traffic.long_share:
             return f"value of {name}"
         size = int(1024 * rng.uniform(*traffic.long_kb)) + 1
         return (f"value of {name} " * (1 + size // len(name)))[:size]
@@ -289,6 +289,13 @@
                 for people in self.people:
                     people.hot = fault.size
                     later(fault.for_s, setattr, people, "hot", 0.0)
+            case "zone_lost":
+                zone = self.rng.randrange(self.world.zones)
+                self.note(f"zone-{zone} lost")
+                for box in self.boxes.values():
+                    if box.zone == zone:
+                        self._hang(box, fault)  # a machine that is cut off says nothing
+                        later(fault.for_s, self._crash, box, Fault("crash", 0.0, 0.5))
             case "discovery_down":
                 self.note("discovery down")
                 self.discovery.die()
@@ -354,6 +361,10 @@
             "misses": self.counts["misses"],
             "fetches": self.counts["fetches"],
             "origin_stops": self.origin.stops,
+            "list_calls": sum(self.discovery.calls.values()),
+            "list_calls_peak": max(self.discovery.calls.values(), default=0),
+            "list_starts_peak": max(self.discovery.begun.values(), default=0),
+            "list_calls_failed": self.discovery.failed,
             "trace_sha256": self.trace.hexdigest(),
             "wall_s": round(wall_s, 3),
             "simulated_s": self.world.seconds,
--- a/lab/world.py
+++ b/lab/world.py
@@ -28,6 +28,7 @@
     "flush",
     "hot_key",
     "discovery_down",
+    "zone_lost",
 ]
 
 WORLDS = Path(__file__).parent / "worlds"
@@ -114,6 +115,8 @@
 
 class Discovery(Struct, forbid_unknown_fields=True):
     lag_s: NotNegative = 1.0
+    calls_per_s: Positive = 1000.0  # worked through in turn, for all proxies
+    wait_s: Positive = 1.0  # a call that would wait longer fails
 
 
 class Fault(Struct, forbid_unknown_fields=True):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -23,6 +23,7 @@
 from lab.play import Play
 from lab.server import Keys, Server
 from lab.world import Fault, WorldError, load, names
+from olivestair import decide
 from olivestair.decide import Balancer
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -72,10 +73,27 @@
         assert not [text for _, text in summary["notes"] if "did not end" in text]
 
 
+STARTS = 10  # first calls at discovery within a tenth of a second, of 16 proxies
+
+
+@pytest.mark.parametrize("name", ["herd", "zone", "join"])
+@pytest.mark.parametrize("seed", [2, 3])
+def test_rules_hold_for_a_fleet(name, seed):
+    summary = Play(operated(name, 11.0), seed).run()
+    assert not broken(summary), summary["breaches"]
+    assert summary["service"] > 0.85, summary["ends"]
+    assert summary["list_starts_peak"] <= STARTS and not summary["origin_stops"]
+
+
+def test_proxies_that_start_in_step_are_seen(monkeypatch):
+    monkeypatch.setattr(decide, "LIST_PACE_MS", 0.0)
+    assert Play(operated("herd", 4.0), 2).run()["list_starts_peak"] > STARTS
+
+
 def operated(name, seconds):
     world = load(name)
     faults = [fault for fault in world.faults if fault.at_s < seconds - 2.0]
-    return short(name, seconds, faults, min(world.traffic.per_s, 200.0))
+    return short(name, seconds, faults, min(world.traffic.per_s, 200.0 if world.proxies < 16 else 480.0))
 
 
 def test_one_seed_gives_one_trace_in_any_process():
