Read a body that ends with its connection, as HTTP/1.1 allows where the answer closes

Checked with a copy that printed the headers: 81 answers, all 200 with `Connection: close` and neither a length nor chunks, for reads and writes. Ruled out: a length over the limit, and large answers to writes.

At fault: HttpReceiver._headers_whole (http.py) took a missing length for a malformed one. An order that had run was failed, a read fetched again.

Change: such a body ends with an orderly end of the connection. A reset is none (whoever dies resets), nor is a missing length without the close; it is held to 1 MiB, and given up where it stands still, as any other answer.

--- a/cloverwell/net/box_connection.py
+++ b/cloverwell/net/box_connection.py
@@ -157,7 +157,8 @@
 
     def dataReceived(self, data: bytes) -> None:
         super().dataReceived(data)
-        if self.flow is None and (self._wanted or len(self._in)):
+        # The rest of a long value has its own time; all else that has begun may not stand still.
+        if not self.ended and self.flow is None and (self._wanted or self._flowing or len(self._in)):
             self._pool.begun[self] = 0
         else:
             self._pool.begun.pop(self, None)
--- a/cloverwell/net/http.py
+++ b/cloverwell/net/http.py
@@ -1,5 +1,9 @@
 """The answers of HTTP/1.1, line by line: what the origin's legs and discovery's watch have in common."""
 
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
+
 from cloverwell.net.lines import MAX_VALUE, FramingError, RingLineReceiver
 
 MAX_HEADERS = 64
@@ -14,7 +18,8 @@
 
 
 class HttpReceiver(RingLineReceiver):
-    """Calls `answered` once for each whole answer; bodies have a length or come in chunks."""
+    """Calls `answered` once for each whole answer; bodies have a length, come in chunks, or end with the
+    connection, where the answer says that it closes."""
 
     max_body = MAX_VALUE
 
@@ -28,6 +33,7 @@
         self._body: list[bytes] = []
         self._got = self._lines = 0
         self._chunked = self._trailer = False
+        self._until_close = False
 
     def lineReceived(self, line: bytes) -> None:
         if self._trailer:
@@ -62,6 +68,10 @@
             self._chunked = True
             return None
         length = self._headers.get("content-length", "0" if self._status in (204, 304) else "")
+        if not length and self._headers.get("connection", "").lower() == "close":
+            self._until_close = True
+            self.expect_pieces(self.max_body + 1)
+            return None
         usable = length.isascii() and length.isdigit()
         if usable and self.long_body(self._status, self._headers, int(length)):
             return None
@@ -74,6 +84,27 @@
         """True if the subclass takes the body in pieces (`expect_pieces`); it calls `_reset` behind it."""
         return False
 
+    def pieceReceived(self, data: bytes) -> None:
+        if not self._until_close:
+            return super().pieceReceived(data)
+        self._got += len(data)
+        if self._got > self.max_body:
+            raise FramingError("body too long")
+        self._body.append(data)
+        return None
+
+    def ends_body(self, reason: Failure) -> bool:
+        """This end of the connection ends a body without a length. A reset does not: whoever dies, resets."""
+        return self._until_close and not self.ended and bool(reason.check(ConnectionDone))
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if self.ends_body(reason):
+            try:
+                self._whole()
+            except FramingError as error:
+                self.framingLost(str(error))
+        super().connectionLost(reason)
+
     def _more(self) -> None:
         """A body may be larger than the ring: it comes in pieces."""
         if self._left:
--- a/cloverwell/net/routing_table.py
+++ b/cloverwell/net/routing_table.py
@@ -288,7 +288,7 @@
             self._table.failed(f"malformed: {reason}")
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        was_ended = self.ended
+        was_ended = self.ended or self.ends_body(reason)
         super().connectionLost(reason)
         if was_ended or not self._table.is_current(self):
             return
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -3,7 +3,7 @@
     client send mg k v O1 Pc=page,t=acme,d=900     bytes to the proxy; `|` is a line end, one is added
     s1 expect mg k v O1 *                          what the proxy wrote to it next (`*`: anything)
     s1 expect nothing | s1 expect end              no bytes | the proxy has closed it
-    s1 close                                       it breaks the connection, or refuses the one asked for
+    s1 close | s1 close orderly                    it breaks the connection, or refuses the one asked for
     proxy close                                    SIGTERM;  `proxy expect end`: the program has ended
     proxy send discovery2                          SIGHUP, with its file replaced (`nonsense`: by a bad one)
     wait 250                                       milliseconds
@@ -12,7 +12,8 @@
 
 Parties: `client`, the boxes `s1`, `s2`..., `origin`, `discovery` and `discovery2`; `client#2` is its second
 connection. A box takes a connection when it first expects something. `origin` and `discovery` send HTTP:
-`STATUS [Name: value;]... BODY`, and `++ TEXT` behind it are further bytes that come with it.
+`STATUS [Name: value;]... BODY` (`Until: close;` first: without a length), and `++ TEXT` behind it are further
+bytes that come with it.
 """
 
 import fnmatch
@@ -20,7 +21,7 @@
 
 import msgspec
 from twisted.internet.address import IPv4Address
-from twisted.internet.error import ConnectionAborted, ConnectionLost, ConnectionRefusedError
+from twisted.internet.error import ConnectionAborted, ConnectionDone, ConnectionLost, ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
@@ -165,7 +166,10 @@
         data = text.replace("|", "\r\n") + "\r\n"
         if name in HTTP:
             *headers, body = text.split(" ", 1)[1].split("; ")
-            lines = [f"HTTP/1.1 {text.split()[0]} -", *headers, f"Content-Length: {len(body)}", "", body]
+            ends = f"Content-Length: {len(body)}"
+            if headers[:1] == ["Until: close"]:
+                ends = "Connection: close"
+            lines = [f"HTTP/1.1 {text.split()[0]} -", *headers, ends, "", body]
             data = "\r\n".join(lines)
         protocol.dataReceived((data + more.replace("|", "\r\n")).encode())
 
@@ -196,10 +200,12 @@
             place = text.find("\r\n", place) + 2 if "\r\n" in text[place:] else len(text)
         return place
 
-    def close(self, name, place, _text):
+    def close(self, name, place, text):
         held = self.opened.get(name, [])
         if len(held) > place:
-            held[place][0].connectionLost(Failure(ConnectionLost()))
+            held[place][0].connectionLost(
+                Failure(ConnectionDone() if text == "orderly" else ConnectionLost())
+            )
         else:
             factory = self.next_asked(name)
             assert factory is not None, "no connection was asked for"
