--- a/cloverwell/config.py
+++ b/cloverwell/config.py
@@ -67,8 +67,9 @@
         raise ConfigError(f"settings: {error}") from None
     told = environ.get("EDGE_DISCOVERY") or raw.discovery
     listen = _address("listen", environ.get("EDGE_LISTEN") or raw.listen)
-    operator = environ.get("EDGE_OPERATOR") or raw.operator
-    if operator and _address("operator", operator) == listen:
+    calls = environ.get("EDGE_OPERATOR") or raw.operator
+    operator = _address("operator", calls) if calls else None
+    if operator == listen:
         raise ConfigError("operator: is the address of listen")
     return Config(
         name=environ.get("EDGE_NAME") or raw.name,
@@ -78,7 +79,7 @@
         limits=raw.limits,
         known=_known(raw.known),
         settings=settings,
-        operator=_address("operator", operator) if operator else None,
+        operator=operator,
     )
 
 
--- a/cloverwell/connections/budget.py
+++ b/cloverwell/connections/budget.py
@@ -3,8 +3,7 @@
 Each side has a floor, which the other can never take; all between the floors goes to whoever asks first. A
 side that finds no room closes what is idle: its own, or what the other holds beyond its floor (`lender`).
 The invariant, checked at every change: what is held never passes the total (but for a while after a smaller
-one has been set), and each side can reach its
-floor whatever the other does.
+one has been set), and each side can reach its floor whatever the other does.
 """
 
 from enum import Enum
--- a/cloverwell/connections/front.py
+++ b/cloverwell/connections/front.py
@@ -28,9 +28,8 @@
 GRACE_MS = (40.0, 400.0)  # a new one is never closed for room sooner than the first; no need to wait longer
 GRACE_TIMES = 3.0  # that much of the time that nearly all take to their first request
 FIRST_GRACE_MS = 150.0  # while nothing is known
-HALF_GRACE_MS = (
-    500.0  # half a command under pressure: so long silent, or so old where clients have no more places
-)
+# Half a command under pressure: so long silent, or so old where clients have no more places.
+HALF_GRACE_MS = 500.0
 SETTLE_MS = 20.0  # an answer's way to its client: nobody is closed for room sooner after one
 SILENT_SHARE = 0.5  # of the clients' part, for those that have not asked yet
 RESERVE_MS = 150.0  # room is kept for the arrivals of so long
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -139,9 +139,8 @@
         if self._left is not None:
             self._port = adopt(self._reactor, self._left.listening, self.side)
         else:
-            shared = (
-                self._config.operator is not None
-            )  # where processes are replaced, and none could be asked
+            # Where processes are replaced, and none could be asked.
+            shared = self._config.operator is not None
             self._port = listen(self._reactor, host, port, self.side, BACKLOG, shared)
         self.side.port = self._port
         if self._config.operator is not None:
--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -12,6 +12,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from cloverwell.flow import LONG
 from lab.net import Address
 from lab.server import Job, Keys, Server
 
@@ -19,9 +20,6 @@
     from lab.play import Play
 
 
-LONG = 64 * 1024
-
-
 def in_pieces(play: Play, transport: Any, data: bytes, done: Any) -> None:
     """A long answer, a piece now and then."""
     size = int(1024 * play.world.boxes.piece_kb)
--- a/lab/people.py
+++ b/lab/people.py
@@ -17,8 +17,8 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from cloverwell.flow import LONG
 from lab.judge import Case
-from lab.nodes import LONG
 from lab.world import Class, World
 
 if TYPE_CHECKING:
@@ -56,7 +56,6 @@
         self._left = 0  # bytes of a value that is coming
         self.began_s: float | None = None  # when it began
         self.heard_s = 0.0  # and went on
-        self._count = 0
 
     def connectionMade(self) -> None:
         self.people.tills.append(self)
--- a/lab/play.py
+++ b/lab/play.py
@@ -162,11 +162,9 @@
     def replace(self, proxy: Proxy, for_s: float) -> None:
         """Another process starts beside it, and takes over; the old one is asked to end after `for_s`."""
         old = proxy.service
-        if old is not None:
-            left = Left(old)
-            self.start(proxy, left)
-            self.net.callLater(for_s, old.stop)
-            self.net.callLater(for_s + KILL_S, self._gone, proxy, old, "did not end by itself")
+        self.start(proxy, Left(old))
+        self.net.callLater(for_s, old.stop)
+        self.net.callLater(for_s + KILL_S, self._gone, proxy, old, "did not end by itself")
 
     def _gone(self, proxy: Proxy, service: Service, text: str = "") -> None:
         """The process that has been replaced ends."""
@@ -265,21 +263,12 @@
                 step = fault.for_s / len(whom) if fault.kind == "drain" else 0.0
                 for place, name in enumerate(whom):
                     later(place * step, getattr(self, f"_{fault.kind}"), self.boxes[name], fault)
-            case "proxy_crash" | "proxy_restart":
+            case "proxy_crash" | "proxy_restart" | "proxy_drain" | "proxy_replace":
                 whom = self._whom(fault, names)
                 self.note(f"{fault.kind} {' '.join(whom)}")
                 for proxy in self.proxies:
                     if proxy.name in whom:
-                        self._stop(proxy, fault)
-            case "proxy_drain" | "proxy_replace":
-                whom = self._whom(fault, names)
-                self.note(f"{fault.kind} {' '.join(whom)}")
-                for proxy in self.proxies:
-                    if proxy.name in whom and proxy.service is not None:
-                        if fault.kind == "proxy_drain":
-                            proxy.watch.drain(fault.for_s)
-                        else:
-                            self.replace(proxy, fault.for_s)
+                        self._befall(proxy, fault)
             case "flush":
                 self.note("flush")
                 for box in self.boxes.values():
@@ -328,14 +317,19 @@
         self.phases[box.name] = phase
         self.discovery.changed(box.name)
 
-    def _stop(self, proxy: Proxy, fault: Fault) -> None:
-        if fault.kind == "proxy_restart" and proxy.service is not None:
-            proxy.draining, proxy.back_s = True, fault.for_s
-            proxy.service.stop()
-            self.net.callLater(KILL_S, self._kill_late, proxy, proxy.service)
-        else:
-            self.kill(proxy)
-            self.net.callLater(fault.for_s, self.start, proxy)
+    def _befall(self, proxy: Proxy, fault: Fault) -> None:
+        match fault.kind:
+            case "proxy_restart" if proxy.service is not None:
+                proxy.draining, proxy.back_s = True, fault.for_s
+                proxy.service.stop()
+                self.net.callLater(KILL_S, self._kill_late, proxy, proxy.service)
+            case "proxy_crash" | "proxy_restart":
+                self.kill(proxy)
+                self.net.callLater(fault.for_s, self.start, proxy)
+            case "proxy_drain" if proxy.service is not None:
+                proxy.watch.drain(fault.for_s)
+            case "proxy_replace" if proxy.service is not None:
+                self.replace(proxy, fault.for_s)
 
     # The day ------------------------------------------------------------------------------------
 
