Keep drains to the site's own time: the proxy's grace was 950 ms, Teorifart's rule 500 ms

Seen while reading what held at the first site by luck: cloverwell/service.py gave Back a fixed DRAIN_GRACE_MS of 950, so Back.late and Back.may_open let legs and new connections go to a leaving box for 950 ms after the news. Teorifart's guarantees.drain-grace is 500 ms, and read_settings did not read it at all.

Checked: the module takes a leaving server off its rings at the news, so only legs chosen before it, still waiting or moving to another connection, could have gone late.

--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -34,7 +34,9 @@
 MIN_BUDGET = 8  # connections, however few descriptors there are during a replacement
 ASKING_SHARE = 1.0 / 3.0  # of all descriptors: the platform's clients open no more connections for requests
 IDLE_SHARE = 0.9  # of the time after which a box closes an idle connection: ours are closed before that
-DRAIN_GRACE_MS = 950.0  # after a box leaves, connections to it may still be opened for so long
+# After a box leaves, legs to it may still be written for the settings' grace less this: the rule counts
+# from a send's first byte at the box, and the way there and the loop's lag come before it.
+DRAIN_MARGIN_MS = 50.0
 BACKLOG = 512
 OPERATOR_BACKLOG = 16
 COUNTS_MS = 5_000.0  # between the log lines that count what was done since the last one
@@ -83,7 +85,8 @@
         self._spare = SPARE_DESCRIPTORS + (OPERATOR_DESCRIPTORS if config.operator else 0)
         sockets = config.limits.sockets if left is None else min(left.estate.sockets, config.limits.sockets)
         self.budget = Budget(max(MIN_BUDGET, sockets - self._spare))
-        self.back = Back(IDLE_SHARE * settings.idle_close_ms, DRAIN_GRACE_MS, self.wheel.now())
+        grace_ms = max(0.0, settings.drain_grace_ms - DRAIN_MARGIN_MS)
+        self.back = Back(IDLE_SHARE * settings.idle_close_ms, grace_ms, self.wheel.now())
         self.pools = Pools(
             reactor,
             self.wheel,
--- a/olivestair/api.py
+++ b/olivestair/api.py
@@ -120,6 +120,7 @@
     resend_share: float = 0.0
     idle_close_ms: float = 15_000.0  # unused so long, a connection is closed
     hang_up_within_ms: float = 0.0  # idle connections to a draining server are closed by then; 0: no matter
+    drain_grace_ms: float = 1000.0  # no attempt to a draining or gone server later than this after being told
     settle_ms: float = 0.0  # how long a key of in-turn requests rests after an attempt that may still run
     # For whoever carries the decisions out; the decisions themselves do not read these.
     zones: tuple[str, ...] = ()
@@ -142,6 +143,7 @@
         _not_negative("cross_price", self.cross_price)
         _not_negative("over_share_worth", self.over_share_worth)
         _not_negative("warm_up_ms", self.warm_up_ms)
+        _not_negative("drain_grace_ms", self.drain_grace_ms)
         _not_negative("granularity_ms", self.granularity_ms)
         _not_negative("max_retry_after_ms", self.max_retry_after_ms)
         _not_negative("ask_within_ms", self.ask_within_ms)
--- a/olivestair/settings.py
+++ b/olivestair/settings.py
@@ -123,5 +123,6 @@
         legs_per_connection=max(1, _value(limits, "streams-per-conn", int, "limits.", 1)),
         max_open=_value(limits, "max-open", int, "limits.", 0),
         hang_up_within_ms=rule("hang-up-within"),
+        drain_grace_ms=rule("drain-grace") or 1000.0,
         settle_ms=rule("settle-after-doubt"),
     )
