Tell the module there are no probes, since the proxy sends none: marked boxes get trials

Teorifart's settings allow probes, so the module sends a marked box no trial request (_choose: _probe returns True) and waits for a probe's answer to clear it. A marked box got nothing but what was already out; after that, nothing until the list changed, and its keys went to the others.

Ruled out for now: carrying probes out (mn on a connection of its own, reported as Probed).

Change: Facade gives its Balancer the settings with may_probe=False. Where the settings forbid probes, nothing changes. The test fails without it: the marked box's key goes to s2 for good.

--- a/cloverwell/facade.py
+++ b/cloverwell/facade.py
@@ -7,7 +7,7 @@
 import heapq
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Protocol
 
@@ -137,7 +137,9 @@
 class Facade:
     def __init__(self, settings: api.Settings, seed: int, now: Callable[[], float]) -> None:
         self.settings = settings
-        self._balancer = Balancer(settings, seed)
+        # This proxy carries out no probes: a module that counted on them would keep a marked box out until
+        # the list changed, waiting for an answer that never comes. Without them it sends trial requests.
+        self._balancer = Balancer(replace(settings, may_probe=False), seed)
         self._now = now
         self._timers: list[tuple[float, int]] = []
         self._pending: deque[Choice] = deque()
@@ -227,7 +229,7 @@
                 return Watch()
             case api.Log(text):
                 return Note(text)
-        # Probes are never carried out: this deployment forbids them, and so do the settings.
+        # Probes are never carried out, and the module is told that they may not be (see __init__).
         return Note(f"not carried out: {action}")
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -216,3 +216,22 @@
     back.left("s0", now)
     assert not back.late("s0", now + grace_ms - 60.0)
     assert back.late("s0", now + grace_ms - 50.0)
+
+
+def test_a_marked_box_gets_a_trial_where_probes_are_allowed_but_none_is_carried_out():
+    # Seen at Teorifart, where probes are allowed: "marked missed", then only "not carried out: Probe", and
+    # the box's keys went to others for as long as the list stood.
+    clock = SimpleNamespace(now=1000.0)
+    settings = read_settings(SETTINGS | {"limits": SETTINGS["limits"] | {"probing": True}})
+    facade = f.Facade(settings, 1, lambda: clock.now)
+    entries = (ServerEntry("s1"), ServerEntry("s2"), ServerEntry("origin", kind=1))
+    facade.report(f.Watch(), f.News(1, True, entries, held=True))
+    names = (f"k{n}" for n in range(1000))
+    key = next(key for key in names if facade.pick(subject(f"first {key}", key=key)).box == "s1")
+    facade.report(facade.pick(subject("r0", key=key)), f.Outcome.NOT_CONNECTED)
+    assert "s1 marked missed" in [
+        choice.text for choice in facade.tick(clock.now) if isinstance(choice, f.Note)
+    ]
+    clock.now += 600.0
+    facade.tick(clock.now)
+    assert facade.pick(subject("r1", key=key)).box == "s1"
