Lab: three zones, uneven traffic by zone, the price of a crossing, and world zones

The lab allowed two zones, spread the clients evenly, and never told the proxies that a crossing has a price, so the module's zoning could not be seen in it at all.

World fields: zones up to 3, cross_price (sent as prices.cross-zone), traffic.zone_shares (one a zone, summing to 1, else refused naming the field). The summary gives 'crossed': the share of box attempts whose proxy is in another zone.

--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -170,7 +170,7 @@
 
     def _run(self, key: str, name: str, write: bool) -> None:
         box, play = self.box, self.box.play
-        play.judge.attempt(box.now, name, box.name)
+        play.attempt(name, box)
         entry: list[Any] = [box.job_of(name), None, name]
         self._order.append(entry)
         work_s = play.work_of(name)
--- a/lab/people.py
+++ b/lab/people.py
@@ -151,7 +151,8 @@
         self.play.net.callLater(self._gap(), self._arrive)
 
     def _gap(self) -> float:
-        return self.rng.expovariate(self.traffic.per_s / self.play.world.zones)
+        shares = self.traffic.zone_shares or [1.0 / self.play.world.zones] * self.play.world.zones
+        return self.rng.expovariate(self.traffic.per_s * shares[self.zone])
 
     def _draw(self, sums: list[float]) -> int:
         return min(len(sums) - 1, bisect(sums, self.rng.random() * sums[-1]))
--- a/lab/play.py
+++ b/lab/play.py
@@ -69,6 +69,7 @@
             )
             for number in range(self.world.proxies)
         ]
+        self._zone_of = {proxy.name: proxy.zone for proxy in self.proxies}
         for proxy in self.proxies:
             proxy.watch = Watch(self, proxy)
             self.start(proxy)
@@ -88,6 +89,13 @@
             _, owner = next(ring.clockwise(point(key)))
             self.boxes[owner].keys.store(key)
 
+    def attempt(self, name: str, box: Box) -> None:
+        """A whole command at a box: the judge sees it, and whether it came from another zone is counted."""
+        self.judge.attempt(box.now, name, box.name)
+        case = self.judge.cases.get(name)
+        self.counts["box_attempts"] += 1
+        self.counts["crossings"] += case is not None and self._zone_of[case.proxy] != box.zone
+
     def _delay(self, near: str, far: str) -> float:
         """One way between two hosts: their second number is their zone."""
         same = near.split(".")[1] == far.split(".")[1]
@@ -123,6 +131,7 @@
                        "connect-timeout": 250.0, "idle-close": 1000.0 * world.boxes.idle_close_s,
                        "streams-per-conn": 8, "retry-after": True, "max-retry-after": 2000.0},
             "specifics": {"mode": "aside", "origin-kind": len(world.boxes.models)},
+            "prices": {"cross-zone": world.cross_price},
         }  # fmt: skip
 
     def members(self) -> list[dict[str, Any]]:
@@ -354,6 +363,7 @@
             "notes": self.notes,
             "misses": self.counts["misses"],
             "fetches": self.counts["fetches"],
+            "crossed": round(self.counts["crossings"] / max(1, self.counts["box_attempts"]), 4),
             "origin_stops": self.origin.stops,
             "list_calls": sum(self.discovery.calls.values()),
             "list_calls_peak": max(self.discovery.calls.values(), default=0),
--- a/lab/world.py
+++ b/lab/world.py
@@ -110,6 +110,7 @@
     long_kb: tuple[Positive, Positive] = (64.0, 1024.0)
     read_kb_s: Positive = 100_000.0  # what a client reads of a long value
     retries: Annotated[int, Meta(ge=0, le=5)] = 2
+    zone_shares: list[Share] = []  # of the traffic, by zone; none: alike
     back_off_ms: NotNegative = 50.0
 
 
@@ -133,8 +134,9 @@
     seconds: Annotated[float, Meta(gt=0.0, le=3600.0)] = 20.0
     proxies: Annotated[int, Meta(ge=1, le=64)] = 2
     sockets: Annotated[int, Meta(ge=64, le=1_000_000)] = 512
-    zones: Annotated[int, Meta(ge=1, le=2)] = 2
+    zones: Annotated[int, Meta(ge=1, le=3)] = 2
     zone_ms: NotNegative = 10.0  # one way between zones
+    cross_price: Share = 0.0  # a crossing's price, as the settings tell the proxy; none: one ring
     second_copies: bool = True  # whether a request may have two attempts out together
     boxes: Boxes = field(default_factory=Boxes)
     origin: Origin = field(default_factory=Origin)
@@ -179,6 +181,9 @@
             raise WorldError(f"{where}.part: must be over 0, or whom must name somebody")
         if fault.at_s >= world.seconds:
             raise WorldError(f"{where}.at_s: must be under seconds ({world.seconds:g})")
+    shares = world.traffic.zone_shares
+    if shares and (len(shares) != world.zones or not 0.999 <= sum(shares) <= 1.001):
+        raise WorldError(f"{name}: traffic.zone_shares: one a zone, summing to 1")
     if not 0.999 <= sum(cls.share for cls in world.traffic.classes) <= 1.001:
         raise WorldError(f"{name}: traffic.classes.share: must sum to 1")
     if not 0.999 <= sum(tenant.share for tenant in world.traffic.tenants) <= 1.001:
