--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -64,11 +64,11 @@
         self._set = settings
         self._rng = Random(seed)
         self._servers: dict[str, Server] = {}
-        # Where few balancers share a zone, one that dies sends its traffic to another zone's and doubles it.
         zones = max(1, len(settings.zones))
         self._zoned = settings.cross_price > 0 and zones > 1
-        # There, keys kept at every zone's own cache as well cost misses the origin may not have room for.
-        self._few = settings.peers_total < ZONE_PEERS * zones
+        # Where few balancers share a zone, one that dies sends its traffic to another zone's and doubles it,
+        # and keys kept at every zone's own cache as well cost misses the origin may not have room for.
+        self._few = self._zoned and settings.peers_total < ZONE_PEERS * zones
         self._home: Ring[Server] = Ring()
         self._abroad: Ring[Server] = Ring()  # servers of other zones, where that matters
         self._home_part = 1.0  # of the keys: as far as home has the capacity
@@ -173,8 +173,7 @@
         for server in caches:
             size = server.entry.weight / largest if self._set.sizes_fixed and largest else 1.0
             far = self._zoned and server.entry.zone != self._set.zone
-            both = self._zoned and self._few and not far
-            for ring, on in (self._home, not far), (self._abroad, far or both):
+            for ring, on in (self._home, not far), (self._abroad, far or self._few):
                 if on:  # as it was, nothing moves: a large fleet's list comes often
                     ring.put(server, server.entry.server, max(1, round(TOKENS * size)))
                 else:
@@ -186,7 +185,7 @@
         mine = sum(s.entry.weight for s in caches if s.entry.zone == self._set.zone)
         self._home_part = len(self._set.zones) * mine / max(sum(sizes), 1e-9) if self._zoned else 1.0
         # With few balancers, the other keys lie on one ring over all zones: one copy, wherever it is.
-        self._home_part *= FEW_HOME if self._zoned and self._few else 1.0
+        self._home_part *= FEW_HOME if self._few else 1.0
 
     def _share(self, now: float, server: Server) -> float:
         """The part of its tokens that is active: misses and load rise with what it can do."""
