--- a/lab/people.py
+++ b/lab/people.py
@@ -125,6 +125,8 @@
         self.play, self.zone = play, zone
         self.rng = Random(f"people {play.seed} {zone}")
         self.traffic = play.world.traffic
+        shares = self.traffic.zone_shares or [1.0 / play.world.zones] * play.world.zones
+        self._per_s = self.traffic.per_s * shares[zone]  # arrivals in this zone
         self.wishes: list[Wish] = []
         self.hot = 0.0  # share of the traffic that asks for one key
         self.opening: dict[Till, Wish] = {}
@@ -151,8 +153,7 @@
         self.play.net.callLater(self._gap(), self._arrive)
 
     def _gap(self) -> float:
-        shares = self.traffic.zone_shares or [1.0 / self.play.world.zones] * self.play.world.zones
-        return self.rng.expovariate(self.traffic.per_s * shares[self.zone])
+        return self.rng.expovariate(self._per_s)
 
     def _draw(self, sums: list[float]) -> int:
         return min(len(sums) - 1, bisect(sums, self.rng.random() * sums[-1]))
