--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -9,7 +9,7 @@
 from olivestair import api
 from olivestair.api import Effect, Group, ListKind, ServerState, Status
 from olivestair.ring import Ring, point
-from olivestair.state import Pace, Record, Server, Span, Turn
+from olivestair.state import FRESH, RATE_MS, Pace, Record, Server, Span, Turn
 from olivestair.timers import Timers
 
 TOKENS = 128  # S of the largest server, the others in proportion: the RFC cites a spread near 10% at 100
@@ -26,9 +26,6 @@
 LONG_MARK_MS = 2000.0  # marked so long, a server has likely restarted: cold until the list says more
 HEAT_WINDOW = 100  # requests of this balancer among which a hot key is told: all balancers see the same mix
 HEAT_MAX = 0.5  # of a mean server's load that one key may bring: a hotter one is spread over more members
-RATE_MS = 2000.0  # shortest memory of latencies: some answers even in a large fleet, yet follows a burst
-PACE_MS = 5000.0  # longest memory of the pooled latencies
-FRESH = 0.1  # weight of the newest latency in the running means: about the last ten to twenty answers
 MARGIN_MS = 2.0  # final answers precede the deadline by this and two rounds of the wire
 MEMBERS = 3  # R, the preference set: a key asked of more servers only spreads a jam and copies
 LIMIT_START = 24.0  # requests out at one server from all balancers together: first guess, some cores' worth
@@ -259,22 +256,9 @@
         aim, ratio = (CROWD_AIM, CROWD_RATIO) if excess else (EARLY_AIM, EARLY_RATIO)
         # Near the aim it is late whatever the floor, which is none where a day begins in a jam.
         start = min(max(aim * self._aim_ms, ratio * pace.floor_ms), EARLY_LAST * self._aim_ms)
-        # Whom this balancer meets once in many seconds it must remember for as long.
-        memory = max(RATE_MS, 2 * pace.gap_ms)
-        mean = pace.mean_ms * math.exp(-max(0.0, now - pace.heard_ms - memory) / memory)
+        mean = pace.fading_ms(now)
         return mean > start and self._rng.random() < EARLY_SLOPE * (mean / start - 1.0)
 
-    def _learn(self, now: float, pace: Pace, took: float) -> None:
-        pace.answers += 1
-        # The long past counts little: while most is dropped, few answers tell of better times.
-        gap = pace.gap_ms = min(PACE_MS, now - pace.heard_ms)
-        pace.heard_ms = now
-        fresh = min(FRESH, gap / RATE_MS)
-        pace.mean_ms += (took - pace.mean_ms) * max(fresh, 1 / pace.answers, 1 - math.exp(-gap / PACE_MS))
-        pace.slow_ms += (took - pace.slow_ms) * max(fresh / 4, 1 / (pace.answers - 1))
-        if pace.answers > 2 / FRESH:
-            pace.floor_ms = min(pace.floor_ms or pace.slow_ms, pace.slow_ms)
-
     def _on_request(self, now: float, event: api.Request) -> None:
         self._taken.append(now)
         cls = self._set.classes[event.request_class]
@@ -483,11 +467,11 @@
         if status is Status.TIMEOUT:  # of many in a row the mean rises all the same
             took = min(took, JAM_CAP * self._pace.mean_ms)
         if status in (Status.OK, Status.MISS, Status.FULL, Status.TIMEOUT) and not (rec.write or silent):
-            self._learn(now, server.pace, took)
+            server.pace.learn(now, took)
         if status in (Status.OK, Status.TIMEOUT) and not server.origin:  # in a jam few answers come
-            self._learn(now, self._pace, took)
-            self._learn(now, server.kin, took)
-            self._learn(now, rec.pace, took)
+            self._pace.learn(now, took)
+            server.kin.learn(now, took)
+            rec.pace.learn(now, took)
         if status in (Status.OK, Status.FULL, Status.TIMEOUT) and not alone:
             self._bound(now, server, status is not Status.OK or server.pace.mean_ms > self._crowd_ms(server))
         return status is Status.RESET and not broken  # its server still answers others
@@ -618,7 +602,7 @@
     def _on_probed(self, now: float, event: api.Probed) -> None:
         server = self._servers.get(event.server)
         if server is not None and event.status is Status.OK:
-            self._learn(now, self._probe_pace, event.latency_ms)
+            self._probe_pace.learn(now, event.latency_ms)
             self._heard(now, server)
         elif server is not None and event.status in (Status.RESET, Status.CONNECT_FAILED):
             self._mark(now, server)
--- a/olivestair/state.py
+++ b/olivestair/state.py
@@ -1,4 +1,4 @@
-"""What decide.py remembers of a server, of the fleet's pace and of a request: plain types, no decisions."""
+"""What decide.py remembers of a server, of the fleet's pace and of a request: measures, no decisions."""
 
 import math
 from collections import deque
@@ -6,6 +6,10 @@
 
 from olivestair import api
 
+RATE_MS = 2000.0  # shortest memory of latencies: some answers even in a large fleet, yet follows a burst
+PACE_MS = 5000.0  # longest memory of the pooled latencies
+FRESH = 0.1  # weight of the newest latency in the running means: about the last ten to twenty answers
+
 
 @dataclass(slots=True)
 class Pace:
@@ -18,6 +22,24 @@
     heard_ms: float = -math.inf  # the last answer
     gap_ms: float = 0.0  # between the last two
 
+    def fading_ms(self, now: float) -> float:
+        """The mean, less of it the longer no answer has come."""
+        # Whom this balancer meets once in many seconds it must remember for as long.
+        memory = max(RATE_MS, 2 * self.gap_ms)
+        return self.mean_ms * math.exp(-max(0.0, now - self.heard_ms - memory) / memory)
+
+    def learn(self, now: float, took: float) -> None:
+        """One more answer, which took so many ms."""
+        self.answers += 1
+        # The long past counts little: while most is dropped, few answers tell of better times.
+        gap = self.gap_ms = min(PACE_MS, now - self.heard_ms)
+        self.heard_ms = now
+        fresh = min(FRESH, gap / RATE_MS)
+        self.mean_ms += (took - self.mean_ms) * max(fresh, 1 / self.answers, 1 - math.exp(-gap / PACE_MS))
+        self.slow_ms += (took - self.slow_ms) * max(fresh / 4, 1 / (self.answers - 1))
+        if self.answers > 2 / FRESH:
+            self.floor_ms = min(self.floor_ms or self.slow_ms, self.slow_ms)
+
 
 @dataclass(slots=True, eq=False)
 class Server:
