Take a box that one list names twice as what it names last, instead of ending on it

Seen: tests/test_lists.py, drawing lists at random, found KeyError '99' in Balancer._on_list once in many runs; the same list from discovery would have ended the program. Checked: a change that names a box's end twice makes `lost` hold it twice, and the second `self._servers.pop(name)` fails (decide.py, _on_list). Ruled out: the routing table, which passes duplicates on unharmed; but there a box that is both kept and ended in one change kept its pool, and with it connections past its drain.

Now the last entry of a name counts, in RoutingTable._take for the pools and in the module for itself. Both tests fail without it.

--- a/cloverwell/net/routing_table.py
+++ b/cloverwell/net/routing_table.py
@@ -98,6 +98,9 @@
         self._take(known, held=True)
 
     def _take(self, listing: Listing, held: bool = False) -> None:
+        # A box that a list names twice is what it names last, here, for the pools and for the decisions.
+        once = list({member.id: member for member in listing.members}.values())
+        listing = Listing(listing.revision, listing.complete, once)
         # All is read before any of it takes effect: half a list would be worse than none.
         addresses = [split_address(member.host_port) for member in listing.members]
         entries = tuple(self._entry(member) for member in listing.members)
--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -128,8 +128,9 @@
             self._backoff_ms = min(2 * self._backoff_ms, RESUBSCRIBE_MAX_MS, self._set.ask_within_ms)
             return
         self._backoff_ms = RESUBSCRIBE_MS
-        ready = {entry.server: entry for entry in event.entries if entry.state is ServerState.READY}
-        lost = self._servers if event.kind is not ListKind.DELTA else [e.server for e in event.entries]
+        told = {entry.server: entry for entry in event.entries}  # told twice, the last counts
+        ready = {name: entry for name, entry in told.items() if entry.state is ServerState.READY}
+        lost = self._servers if event.kind is not ListKind.DELTA else told
         for name in [name for name in lost if name in self._servers and name not in ready]:
             self._home.remove(self._servers[name])
             self._abroad.remove(self._servers[name])
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -76,3 +76,14 @@
     assert player.log.getvalue().count("call failed: malformed") == 1
     assert player.service.table.listing().revision == 41
     serves(player)
+
+
+def test_a_box_that_one_change_both_keeps_and_ends_is_ended_everywhere():
+    player = Player()
+    player.play("wait 100\ndiscovery expect GET *")
+    member = {"id": "s1", "host_port": "127.0.0.9:201", "flavor": "large"}
+    told(player, 42, [member, {**member, "phase": "terminated"}, {**member, "phase": "terminated"}])
+    serves(player)
+    player.play("wait 400")
+    assert "s1" not in player.service.pools.names()
+    assert "s1" not in {member.id for member in player.service.table.listing().members}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -347,3 +347,12 @@
     d.list(api.ListKind.DELTA, [api.ServerEntry(d.sends[name][0], api.ServerState.DRAINING)])
     d.answer(name, Status.RESET, after=200.0)
     assert not d.probes
+
+
+def test_a_box_that_one_list_names_twice_is_what_it_names_last(drive):
+    # Found by chance: a change that told a box's end twice ended the program.
+    gone, back = api.ServerEntry("s1", api.ServerState.GONE), api.ServerEntry("s1")
+    for told, there in ((gone, gone), False), ((back, gone), False), ((gone, back), True):
+        d = drive()
+        d.list(api.ListKind.DELTA, told)
+        assert ("s1" in {d.owner(f"k{n}") for n in range(60)}) is there
