Wait for a close as long as its own box is away, not as long as boxes nearby are

Traced: a leg at box-5, 15 ms away, called off at .2150 and its connection closed; the next attempt came in at the origin at .2202; the close reached box-5 at .2296.

Ruled out: the waiting list, split legs (their last byte was out), the module's own copies.

Now connections/back.py keeps each box's quickest handshake or answer of the last 10 to 20 s, and ends it with the box; the pool's second record is gone. A leg that is out has a connection, so its own way is always known; one that grows longer is noticed, which the least of all time never did. A leg behind a long value, where copies are refused, ends with its connection: its command stayed out.

--- a/cloverwell/connections/back.py
+++ b/cloverwell/connections/back.py
@@ -37,6 +37,8 @@
 SILENT_TIMES = 4.0  # mean answers: a leg that has had none of one for so long is on a connection that is dead
 FULL = 4  # connections refused in a row, while others stand, that show a box to hold no more
 CAP_BACK_MS = 2000.0  # a box that refused a connection is asked for one more after so long
+ROUND_MS = 10_000.0  # the quickest round trip is the least of so long, and of as long before
+MOST_REACH_MS = 60.0  # a close that we send has reached its box by then
 QUICK_MS = 60.0  # a reset that takes longer fell on work, and says nothing of how long resets take to come
 
 
@@ -60,6 +62,9 @@
     leg_ms: float = -math.inf  # the last one
     answer_ms: float = 50.0  # what answers take: a running mean
     connect_ms: float = 0.0  # what a handshake takes: a running mean
+    round_ms: float = math.inf  # the quickest handshake or answer in this window
+    round_end_ms: float = -math.inf  # its end
+    round_before_ms: float = math.inf  # the quickest in the one before
     refusals: int = 0  # in a row, while some stood
     cap: float = math.inf  # it has refused more
     cap_ms: float = 0.0  # when that was
@@ -123,9 +128,10 @@
         entry.in_use = in_use
         entry.peak = max(entry.peak, in_use)
 
-    def connected(self, box: str, took_ms: float) -> None:
+    def connected(self, box: str, took_ms: float, now: float) -> None:
         entry = self._boxes.get(box)
         if entry is not None:
+            self._round(entry, took_ms, now)
             weight = 0.2 if entry.connect_ms else 1.0
             entry.connect_ms += weight * (took_ms - entry.connect_ms)
 
@@ -145,6 +151,7 @@
         if entry is None:
             return
         entry.refusals = 0
+        self._round(entry, took_ms, now)
         entry.answer_ms += 0.1 * (took_ms - entry.answer_ms)
         kin = self._kinds[entry.kind]
         kin.resets *= 1.0 - ALMOST
@@ -214,6 +221,15 @@
         wait = HOLD_TIMES * max(self._kinds[entry.kind].reset_ms, entry.connect_ms)
         return min(max(HOLD_MS[0], wait), HOLD_MS[1])
 
+    def reach_ms(self, box: str) -> float:
+        """How long a close that we send now may take to reach the box: at most a whole round trip there.
+
+        A leg that is out has a connection, so a handshake at least has told it. Of two windows the slower
+        counts: a way that has grown longer is known as soon as anything came back on it."""
+        entry = self._boxes.get(box)
+        rounds = [] if entry is None else [entry.round_ms, entry.round_before_ms]
+        return min(MOST_REACH_MS, max((ms for ms in rounds if ms < math.inf), default=MOST_REACH_MS))
+
     def idle_limit_ms(self, box: str) -> float:
         entry = self._boxes.get(box)
         return self.limits.most_ms if entry is None else self.limit_ms(entry, box)
@@ -269,6 +285,12 @@
             return 0
         return min(AHEAD_EACH, max(0, wanted - opened))
 
+    def _round(self, entry: Box, took_ms: float, now: float) -> None:
+        if now >= entry.round_end_ms:
+            entry.round_before_ms, entry.round_ms = entry.round_ms, math.inf
+            entry.round_end_ms = now + ROUND_MS
+        entry.round_ms = min(entry.round_ms, took_ms)
+
     def _turn(self, entry: Box, now: float) -> None:
         """Closes the windows that have ended."""
         if now < entry.window_ms:
--- a/cloverwell/net/box_connection.py
+++ b/cloverwell/net/box_connection.py
@@ -178,8 +178,9 @@
             return True
         if attempt not in self.legs:
             return False
-        if self.flow is not None:
-            # It stands behind a long value, which goes on; where that ends, so does the connection.
+        if self.flow is not None and not self._pool.holds:
+            # It stands behind a long value, which goes on; where that ends, so does the connection. But it is
+            # out until then: where a request may have but one attempt out, the value breaks off for it.
             self._last = True
             self.legs.remove(attempt)
             attempt.end(outcome)
--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -30,8 +30,6 @@
 MAX_WAITING = 256  # legs that wait for a connection to one box
 AHEAD_ROOM = 0.1  # of the descriptors: so many stay free when connections are opened ahead
 MAX_MOVES = 4  # connections that one leg may find closed before its last byte
-# A close that we send reaches the box at most one quickest round trip later; before a box has answered, this.
-REACH_MS, MOST_REACH_MS = 25.0, 60.0
 
 
 class _Opener(ClientFactory):
@@ -68,7 +66,6 @@
         self.left = False  # off the routing table
         self.begun = pools.begun
         self._waiting: deque[Attempt] = deque()
-        self.quickest_ms: float | None = None  # from the first byte of a leg to its answer, the least seen
 
     def build(self, asked_ms: float) -> BoxConnection:
         return self._pools.build(self, asked_ms)
@@ -157,22 +154,25 @@
         if not any(connection.give_up(attempt, outcome) for connection in list(self.connections)):
             attempt.end(outcome)
 
+    @property
+    def holds(self) -> bool:
+        """Whether no request may have two attempts out together."""
+        return self._pools.hold
+
     def closed(self, attempt: Attempt, outcome: Outcome) -> None:
         """We have closed the connection of a leg that was out: it ends now, and its answer need not wait.
 
         Where no request may have two attempts out together, it is out at the box until the close arrives
         there: a further attempt, to a box nearer by, is written no sooner.
         """
-        if self._pools.hold and attempt.written_ms is not None:
+        if self.holds and attempt.written_ms is not None:
             authorisation = attempt.authorisation
-            authorisation.clear_ms = max(authorisation.clear_ms, self.now() + self._pools.reach_ms(self))
+            authorisation.clear_ms = max(authorisation.clear_ms, self.now() + self._back.reach_ms(self.box))
         attempt.end(outcome)
 
     def answered(self, age_ms: float | None, first_ms: float) -> None:
         now = self.now()
-        took = now - first_ms
-        self.quickest_ms = took if self.quickest_ms is None else min(self.quickest_ms, took)
-        self._back.answered(self.box, age_ms, took, now)
+        self._back.answered(self.box, age_ms, now - first_ms, now)
 
     def silent(self, age_ms: float | None, first_ms: float) -> None:
         now = self.now()
@@ -204,7 +204,7 @@
         self.connections.append(connection)
         now = connection.idle_since_ms = self.now()
         self._figures.add(What.OPENED, self.box)
-        self._back.connected(self.box, now - connection.asked_ms)
+        self._back.connected(self.box, now - connection.asked_ms, now)
         self.freed(connection)
 
     def freed(self, connection: BoxConnection) -> None:
@@ -347,13 +347,6 @@
             self._pools[box].left = True
         return self._pools[box]
 
-    def reach_ms(self, pool: Pool) -> float:
-        """How long a close may take to reach the box: its quickest round trip, or the slowest box's."""
-        if pool.quickest_ms is not None:
-            return min(MOST_REACH_MS, pool.quickest_ms)
-        known = [p.quickest_ms for p in self._pools.values() if p.quickest_ms is not None and not p.origin]
-        return min(MOST_REACH_MS, max(known, default=REACH_MS))
-
     def names(self) -> set[str]:
         return set(self._pools)
 
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -5,6 +5,8 @@
 from hypothesis import strategies as st
 from scenario import Player
 
+from cloverwell.authorisation import Attempt, Authorisation
+from cloverwell.facade import Leg, Outcome
 from cloverwell.flow import AHEAD, LONG, LONGEST, Flow, ahead
 from cloverwell.net.acquirer import FLOW_PIECE
 from cloverwell.net.box_connection import FLOW_READ
@@ -195,6 +197,22 @@
     player.play("wait 600\nproxy expect end")
 
 
+@pytest.mark.parametrize("copies", [False, True])
+def test_a_leg_behind_a_long_value_is_not_left_out_where_copies_are_refused(copies):
+    player = Player()
+    _, (box, transport) = asked(player)
+    player.service.pools.hold = not copies
+    behind = Authorisation("O2", 0, 0, "k2", False, 500.0, b"", "c=page", lambda *_: None)
+    ends = []
+    leg = Leg("O2", "s1", 0, 400.0)
+    attempt = Attempt(leg, behind, 1e9, lambda attempt, outcome, _: ends.append(outcome), box._pool)
+    assert box.send(attempt)
+    box.dataReceived(HEAD + VALUE[:100])
+    assert box.give_up(attempt, Outcome.TIMED_OUT) and ends == [Outcome.TIMED_OUT]
+    assert transport.aborted is not copies  # the value goes on, or breaks off so that the leg is out no more
+    assert (behind.clear_ms > 0.0) is not copies
+
+
 @given(st.binary(min_size=1, max_size=60), st.lists(st.integers(1, 20), max_size=8), st.sampled_from("wbd"))
 def test_the_sink_gets_what_came_once_and_its_end_once(value, cuts, how):
     got, ended, stopped = [], [], []
