Pass boxes by as jammed by the aims of what they answer, not by those of writes

Line at fault: Balancer._drop_early, whose line is 0.5 to 0.75 of the shortest aim of all classes. The shortest is the writes', which go to the origin; far boxes stood above it with hardly any load, and passed by they got no answer that could clear them.

Now a class of which a write has been seen, where there is an origin, does not count there. A time-out at a box teaches at most three of the boxes' latencies again; meant only the origin.

--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -37,7 +37,7 @@
 AGE_ORIGIN = 0.5  # of a crowded latency, for the mean age of what is out there: it is about half done
 CROWD_RATIO = 1.5  # times the lowest mean latency seen: half of it is chance, the rest is waiting
 EARLY_AIM, EARLY_RATIO = 0.5, 2.5  # as these two, for where early drops begin
-EARLY_LAST = 0.75  # of the shortest aim: the latest start of early drops
+EARLY_LAST = 0.75  # of the shortest aim: early drops start by then, whatever the floor
 EARLY_SLOPE = 2.0  # part dropped for each time more than that: all at half as much again
 SHARE_SLACK = 1.5  # times its even part of a tenant's quota: zones differ, and a balancer sees only its own
 SHARE_CLUMP = 4.0  # requests of a tenant that may come at once: an even part of a quota may be under one
@@ -65,8 +65,7 @@
         self._servers: dict[str, Server] = {}
         zones = max(1, len(settings.zones))
         self._zoned = settings.cross_price > 0 and zones > 1
-        # Where few balancers share a zone, one that dies sends its traffic to another zone's and doubles it,
-        # so a key goes abroad as soon as its owner at home is jammed.
+        # Where few share a zone, one that dies doubles another zone's traffic: who is jammed is passed by.
         self._few = self._zoned and settings.peers_total < ZONE_PEERS * zones
         self._home: Ring[Server] = Ring()
         self._abroad: Ring[Server] = Ring()  # servers of other zones, where that matters
@@ -89,7 +88,8 @@
         self._taken: deque[float] = deque(maxlen=None if settings.resend_window_ms else 0)  # in the window
         self._resends = self._taken.copy()  # further attempts in it
         self._margin_ms = MARGIN_MS + 2 * settings.granularity_ms  # two rounds of the wire
-        self._aim_ms = min(c.aim_ms for c in settings.classes)
+        self._reads = {number: c.aim_ms for number, c in enumerate(settings.classes)}  # no write seen of it
+        self._aim_ms = self._read_ms = min(self._reads.values())  # the shortest, and of what caches answer
         self._pace = Pace(self._aim_ms * CROWD_AIM)  # of answers at cache servers
         self._kinds: dict[int, Pace] = {}  # the same by kind of machine
         self._origin_pace = Pace(self._aim_ms * CROWD_AIM / 2)
@@ -146,12 +146,11 @@
         started = server is None or entry.started_ms > server.entry.started_ms
         if server is None:
             origin = entry.kind == self._set.origin_kind
-            least, calm = (ORIGIN_MIN, ORIGIN_AIM) if origin else (LIMIT_MIN, CROWD_AIM)
-            least = max(least, LIMIT_CORES / self._set.peers_total)
+            least = max(ORIGIN_MIN if origin else LIMIT_MIN, LIMIT_CORES / self._set.peers_total)
             limit = max(2 * least, LIMIT_START / self._set.peers_total)
             pace = self._origin_pace if origin else Pace(self._pace.mean_ms)
             kin = self._kinds.setdefault(entry.kind, Pace(self._pace.mean_ms))
-            server = Server(entry, origin, pace, kin, limit, least, calm * self._aim_ms)
+            server = Server(entry, origin, pace, kin, limit, least)
             self._servers[entry.server] = server
         if started:  # it is cold, unless that is long ago, and worth a try at once
             server.warm_from_ms = entry.started_ms or -math.inf
@@ -272,13 +271,15 @@
     def _drop_early(self, now: float, pace: Pace, excess: bool = False) -> bool:
         """Random early detection: hundreds of balancers, each blind to the rest, drop the right part."""
         aim, ratio = (CROWD_AIM, CROWD_RATIO) if excess else (EARLY_AIM, EARLY_RATIO)
-        # Near the aim it is late whatever the floor, which is none where a day begins in a jam.
-        start = min(max(aim * self._aim_ms, ratio * pace.floor_ms), EARLY_LAST * self._aim_ms)
+        short = self._aim_ms if pace is self._origin_pace else self._read_ms
+        start = min(max(aim * short, ratio * pace.floor_ms), EARLY_LAST * short)
         mean = pace.fading_ms(now)
         return mean > start and self._rng.random() < EARLY_SLOPE * (mean / start - 1.0)
 
     def _on_request(self, now: float, event: api.Request) -> None:
         self._taken.append(now)
+        if event.write and self._origins and self._reads.pop(event.request_class, None):
+            self._read_ms = min(self._reads.values(), default=self._aim_ms)
         cls = self._set.classes[event.request_class]
         place = point(event.key) if event.key is not None else self._rng.getrandbits(64)
         deadline = now + event.left_ms - self._margin_ms
@@ -485,7 +486,7 @@
         # A time-out or a full server would have taken longer.
         took = max(took, {Status.FULL: self._aim_ms, Status.TIMEOUT: server.pace.mean_ms}.get(status, 0.0))
         if status is Status.TIMEOUT:  # of many in a row the mean rises all the same
-            took = min(took, JAM_CAP * max(self._pace.mean_ms, server.pace.mean_ms))
+            took = min(took, JAM_CAP * max(self._pace.mean_ms, server.origin * server.pace.mean_ms))
         if status in (Status.OK, Status.MISS, Status.FULL, Status.TIMEOUT) and not (rec.write or silent):
             server.pace.learn(now, took)
         if status in (Status.OK, Status.TIMEOUT) and not server.origin:  # in a jam few answers come
@@ -497,7 +498,8 @@
         return status is Status.RESET and not broken  # its server still answers others
 
     def _crowd_ms(self, server: Server) -> float:
-        return max(server.calm_ms, CROWD_RATIO * server.pace.floor_ms)
+        calm = (ORIGIN_AIM if server.origin else CROWD_AIM) * self._aim_ms
+        return max(calm, CROWD_RATIO * server.pace.floor_ms)
 
     def _bound(self, now: float, server: Server, crowded: bool) -> None:
         """Bounds what is out at a server by its answers: crowds work slower, and a jam feeds itself."""
@@ -568,13 +570,11 @@
             if len(origin.out) >= origin.limit:
                 return
             rec = self._queue.pop(0)[3]
-            if rec.done:
-                continue
             # What would come too late keeps the origin from what it can still do in time.
             left = min(rec.use_ms - now, math.inf if rec.cls.late_worth else rec.cls.aim_ms)
-            if left < self._origin_pace.fading_ms(now):
+            if not rec.done and left < self._origin_pace.fading_ms(now):
                 self._finish(now, rec, "origin", RATE_MS)
-            else:
+            elif not rec.done:
                 self._send(now, rec, origin, rec.deadline_ms - now)
 
     def _resume(self, now: float, rec: Record) -> None:
--- a/olivestair/state.py
+++ b/olivestair/state.py
@@ -49,7 +49,6 @@
     kin: Pace  # of the answers of all servers of its kind
     limit: float  # of requests out; moves with the answers
     least: float  # the bound goes no lower
-    calm_ms: float  # a mean latency under it is never crowded
     warm_from_ms: float = -math.inf
     out: dict = field(default_factory=dict)  # (request id, attempt number) -> (Record, sent_ms)
     overtaken_ms: float = -math.inf  # the latest send that has been answered
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -784,3 +784,17 @@
     before = bound.limit
     d.pass_time(600)
     assert len(bound.out) > 1 and bound.limit < 0.7 * before
+
+
+@pytest.mark.parametrize("writes, refused", [(True, False), (False, True)])
+def test_a_box_is_passed_by_by_the_aims_of_what_it_answers(drive, writes, refused):
+    # teori-oslo wide+reset+stale: writes go to the origin, but their shorter aim called far boxes jammed.
+    d = drive(classes=SLOW)
+    if writes:
+        d.serve(d.ask("w", cls=1, left=1000.0, write=True), 40.0)
+    names = []
+    for i in range(40):
+        names.append(d.ask(f"k{i}"))
+        if names[-1] in d.sends:
+            d.serve(names[-1], 330.0)
+    assert any(isinstance(d.ended.get(name), api.Refuse) for name in names) is refused
