Tell which proxies of a tier live, by datagrams that may be lost: the view, without I/O

No proxy imports the package yet: the socket, records, adoption and the harness of real processes are not built.

--- /dev/null
+++ b/cloverwell/peers/view.py
@@ -0,0 +1,255 @@
+"""Which proxies of the tier live, after SWIM (Das, Gupta, Motivala 2002): messages and time in, messages out.
+
+In each period one other proxy is pinged, each once before any a second time. One that does not answer is
+asked for through others, so that a cut link between two is not taken for a death. One that answers nobody is
+suspected, and dead only when the suspicion has stood: it hears of it, and denies it by a higher incarnation.
+What is news rides on the pings and acks, a bounded number of times.
+
+Proxies are known by their number in the tier, not by address: an address differs from one proxy to another.
+An incarnation is the start's Unix time in ms, and one more for each denial; denials are rarer than that,
+so a restart's is always higher. Times are milliseconds of one monotonic clock.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from random import Random
+
+from cloverwell.peers.wire import (
+    MOST_INCARNATION,
+    MOST_PROXIES,
+    MOST_RUMOURS,
+    NOBODY,
+    Kind,
+    Message,
+    Rumour,
+    State,
+)
+
+EVERYBODY = -1  # as the receiver of a message: whoever can be reached
+
+
+@dataclass(slots=True, frozen=True)
+class Figures:
+    """The defaults: for datagrams that take up to 17 ms one way."""
+
+    period_ms: float = 200.0  # one ping
+    answer_ms: float = 80.0  # without an ack so long, others are asked
+    helpers: int = 3  # how many of them
+    suspect_ms: float = 600.0  # a suspicion that stands so long is a death
+    call_ms: float = 1000.0  # between calls to everybody, while somebody has not been heard of or is dead
+
+
+@dataclass(slots=True, frozen=True)
+class Out:
+    """A message to be sent to a proxy, or to everybody."""
+
+    to: int
+    message: Message
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    proxy: int
+    state: State
+    incarnation: int
+
+
+@dataclass(slots=True)
+class Known:
+    """What is held of one other proxy."""
+
+    incarnation: int
+    state: State
+    since_ms: float  # of that state
+    asked_ms: float = -math.inf  # while it is suspected: its last ping
+
+
+@dataclass(slots=True)
+class Trial:
+    """The ping that is out."""
+
+    whom: int
+    sequence: int
+    begun_ms: float
+    asked: bool = False  # others, too
+    answered: bool = False
+
+
+@dataclass
+class View:
+    """`number`: this proxy's among `total`; deterministic by its seed."""
+
+    number: int
+    total: int
+    incarnation: int
+    seed: int
+    figures: Figures = field(default_factory=Figures)
+    known: dict[int, Known] = field(default_factory=dict)  # by number; at most `total` - 1
+    changes: list[Change] = field(default_factory=list)  # since they were taken last
+    stale: int = 0  # messages of an incarnation that has been overtaken
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.number < self.total <= MOST_PROXIES:
+            raise ValueError(f"number: must be under total, and total at most {MOST_PROXIES}")
+        self._rng = Random(self.seed)
+        self._turn: list[int] = []  # whom to ping in this round yet
+        self._trial: Trial | None = None
+        self._sequence = 0
+        self._errands: dict[int, tuple[int, int, float]] = {}  # our sequence -> (asker, its sequence, when)
+        self._news: dict[int, int] = {}  # number -> how often its state is to be told yet
+        self._call_ms = -math.inf
+
+    # What is known ------------------------------------------------------------------------------
+
+    def alive(self) -> set[int]:
+        """Those not known to be dead, and this proxy itself: a suspect still lives."""
+        return {self.number} | {n for n, known in self.known.items() if known.state is not State.DEAD}
+
+    def take_changes(self) -> list[Change]:
+        taken, self.changes = self.changes, []
+        return taken
+
+    # What comes in ------------------------------------------------------------------------------
+
+    def receive(self, now: float, message: Message) -> list[Out]:
+        """A message, already decoded; one that names numbers outside the tier is dropped whole."""
+        numbers = {message.sender, *(rumour.proxy for rumour in message.rumours)}
+        if message.sender == self.number or max(numbers) >= self.total:
+            return []
+        held = self.known.get(message.sender)
+        if held is not None and message.incarnation < held.incarnation:
+            self.stale += 1  # of a process that has been replaced, or sent before its denial
+            return []
+        self._hear(now, Rumour(message.sender, message.incarnation, State.ALIVE))
+        for rumour in message.rumours:
+            self._hear(now, rumour)
+        match message.kind:
+            case Kind.PING:
+                return [self._out(message.sender, Kind.ACK, message.sequence, self.number)]
+            case Kind.ASK if message.whom < self.total and message.whom != self.number:
+                return self._run_errand(now, message)
+            case Kind.ACK:
+                return self._take_ack(message)
+        return []
+
+    def _run_errand(self, now: float, message: Message) -> list[Out]:
+        old = [n for n, (_, _, at) in self._errands.items() if now - at > self.figures.period_ms]
+        for sequence in old:
+            del self._errands[sequence]
+        if len(self._errands) >= self.total:
+            return []
+        sequence = self._next_sequence()
+        self._errands[sequence] = (message.sender, message.sequence, now)
+        return [self._out(message.whom, Kind.PING, sequence)]
+
+    def _take_ack(self, message: Message) -> list[Out]:
+        errand = self._errands.pop(message.sequence, None)
+        if errand is not None:
+            asker, sequence, _ = errand
+            return [self._out(asker, Kind.ACK, sequence, message.sender)]
+        trial = self._trial
+        if trial is not None and trial.sequence == message.sequence and trial.whom == message.whom:
+            trial.answered = True
+        return []
+
+    def _hear(self, now: float, rumour: Rumour) -> None:
+        if rumour.proxy == self.number:
+            if rumour.state is not State.ALIVE and rumour.incarnation >= self.incarnation:
+                # Said of this process, or of one before it whose clock was ahead: it lives.
+                self.incarnation = min(MOST_INCARNATION, rumour.incarnation + 1)
+                self._tell(self.number)
+            return
+        held = self.known.get(rumour.proxy)
+        if held is not None and (rumour.incarnation, rumour.state) <= (held.incarnation, held.state):
+            return
+        self._hold(now, rumour)
+
+    def _hold(self, now: float, rumour: Rumour) -> None:
+        before = self.known.get(rumour.proxy)
+        self.known[rumour.proxy] = Known(rumour.incarnation, rumour.state, now)
+        if before is None or (before.state, before.incarnation) != (rumour.state, rumour.incarnation):
+            self.changes.append(Change(rumour.proxy, rumour.state, rumour.incarnation))
+            self._tell(rumour.proxy)
+
+    # What goes out ------------------------------------------------------------------------------
+
+    def tick(self, now: float) -> list[Out]:
+        """To be called at least a few times in each period."""
+        out = self._judge(now) + self._advance(now)
+        lost = len(self.known) < self.total - 1 or any(k.state is State.DEAD for k in self.known.values())
+        if lost and now - self._call_ms >= self.figures.call_ms:
+            # Whoever has just started, or comes back, learns of us and we of it.
+            self._call_ms = now
+            out.append(self._out(EVERYBODY, Kind.PING, self._next_sequence()))
+        return out
+
+    def _judge(self, now: float) -> list[Out]:
+        """A suspect is pinged again and again, since a lost datagram must not stand for it; then it dies."""
+        out = []
+        for number, known in list(self.known.items()):
+            if known.state is not State.SUSPECT:
+                continue
+            if now - known.since_ms >= self.figures.suspect_ms:
+                self._hold(now, Rumour(number, known.incarnation, State.DEAD))
+            elif now - known.asked_ms >= self.figures.answer_ms:
+                known.asked_ms = now
+                out.append(self._out(number, Kind.PING, self._next_sequence()))
+        return out
+
+    def _advance(self, now: float) -> list[Out]:
+        trial = self._trial
+        if trial is None:
+            return self._begin(now)
+        if not trial.answered and not trial.asked and now - trial.begun_ms >= self.figures.answer_ms:
+            trial.asked = True
+            others = sorted(self.alive() - {self.number, trial.whom})
+            helpers = self._rng.sample(others, min(self.figures.helpers, len(others)))
+            return [self._out(helper, Kind.ASK, trial.sequence, trial.whom) for helper in helpers]
+        if now - trial.begun_ms < self.figures.period_ms:
+            return []
+        known = self.known.get(trial.whom)
+        if not trial.answered and known is not None and known.state is State.ALIVE:
+            self._hold(now, Rumour(trial.whom, known.incarnation, State.SUSPECT))
+        return self._begin(now)
+
+    def _begin(self, now: float) -> list[Out]:
+        """Pings the next one: each once in an order drawn anew, so that a death is met within a round."""
+        self._trial = None
+        living = self.alive() - {self.number}
+        self._turn = [number for number in self._turn if number in living]
+        if not self._turn:
+            self._turn = sorted(living)
+            self._rng.shuffle(self._turn)
+        if not self._turn:
+            return []
+        whom = self._turn.pop()
+        self._trial = Trial(whom, self._next_sequence(), now)
+        return [self._out(whom, Kind.PING, self._trial.sequence)]
+
+    def _out(self, to: int, kind: Kind, sequence: int, whom: int = NOBODY) -> Out:
+        return Out(to, Message(kind, self.number, self.incarnation, sequence, whom, self._rumours(to)))
+
+    def _rumours(self, to: int) -> tuple[Rumour, ...]:
+        """What is to be told yet, the least told first; a suspect always hears that it is one."""
+        told = []
+        held = self.known.get(to)
+        if held is not None and held.state is not State.ALIVE:
+            told.append(Rumour(to, held.incarnation, held.state))
+        for number in sorted(self._news, key=lambda n: (-self._news[n], n))[: MOST_RUMOURS - len(told)]:
+            self._news[number] -= 1
+            if not self._news[number]:
+                del self._news[number]
+            known = self.known.get(number)
+            if number != self.number and known is not None and number != to:
+                told.append(Rumour(number, known.incarnation, known.state))
+        return tuple(told)
+
+    def _tell(self, number: int) -> None:
+        """So often that all hear it with hardly any doubt: a few times the logarithm of the tier."""
+        self._news[number] = 3 * math.ceil(math.log2(self.total + 1))
+
+    def _next_sequence(self) -> int:
+        self._sequence = (self._sequence + 1) % 2**16
+        return self._sequence
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,154 @@
+"""Who lives, as proxies tell each other over datagrams: deaths, cuts, stops and restarts in virtual time."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverwell.peers import view as peers
+from cloverwell.peers.view import Figures, View
+from cloverwell.peers.wire import MOST_BYTES, Kind, Message, Rumour, State, WireError, decode, encode
+from lab.datagrams import Datagrams
+
+KNOWN_S = 2.0  # by then all survivors of a tier of four or fewer hold a death
+SEEDS = range(1, 21)
+
+NUMBER, LIFE = st.integers(0, 255), st.integers(0, 2**48 - 1)
+RUMOURS = st.lists(st.builds(Rumour, NUMBER, LIFE, st.sampled_from(State)), max_size=40)
+MESSAGES = st.builds(
+    Message, st.sampled_from(Kind), NUMBER, LIFE, st.integers(0, 2**16 - 1), NUMBER, RUMOURS.map(tuple)
+)
+
+
+@given(MESSAGES)
+def test_a_message_comes_back_whole_but_for_rumours_that_have_no_room(message):
+    data = encode(message)
+    again = decode(data)
+    assert len(data) <= MOST_BYTES and again.rumours == message.rumours[: len(again.rumours)]
+    assert len(again.rumours) == min(30, len(message.rumours))
+    assert encode(again) == data
+
+
+@given(st.binary(max_size=300))
+def test_whatever_comes_is_a_message_or_refused_by_a_word(data):
+    try:
+        assert encode(decode(data)) == data
+    except WireError as error:
+        assert str(error) in ("long", "short", "version", "kind", "state", "length")
+
+
+@given(st.lists(st.tuples(st.booleans(), MESSAGES), max_size=30))
+def test_no_message_makes_a_view_hold_more_than_its_tier(messages):
+    view, now = View(0, 4, 1000, 1), 0.0
+    for ticks, message in messages:
+        now += 50.0
+        outs = view.tick(now) if ticks else view.receive(now, message)
+        assert all(len(encode(out.message)) <= MOST_BYTES for out in outs)
+        assert 0 in view.alive() and view.alive() <= set(range(4)) and set(view.known) <= {1, 2, 3}
+        assert len(view._errands) <= 4 and len(view._news) <= 4
+
+
+def met(total, seed, **more):
+    net = Datagrams(total, seed, **more)
+    net.run(2.5)
+    assert net.agree(set(range(total)))
+    return net
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_death_is_known_to_all_and_nobody_else_is_taken_for_dead(seed):
+    net = met(3 + seed % 6, seed, loss=0.05)
+    net.crash(1)
+    net.run(KNOWN_S + 1.0)
+    assert net.agree(set(range(len(net.hosts))) - {1})
+    assert {whom for _, _, whom in net.deaths()} == {1}
+
+
+@pytest.mark.parametrize("both", [True, False])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_cut_link_between_two_is_no_death(seed, both):
+    net = met(3, seed)
+    net.sever(0, 1, both)
+    net.run(20.0)
+    assert net.agree({0, 1, 2}) and not net.deaths()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_both_sides_of_a_cut_tier_hold_their_own_and_meet_again(seed):
+    net = met(4, seed)
+    for here in (0, 1):
+        for there in (2, 3):
+            net.sever(here, there)
+    net.run(4.0)
+    assert net.agree({0, 1}) and net.agree({2, 3})
+    net.cut.clear()
+    net.run(4.0)
+    assert net.agree({0, 1, 2, 3})
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_one_that_was_stopped_denies_its_death_by_a_higher_incarnation(seed):
+    net = met(3, seed)
+    born = net.hosts[2].view.incarnation
+    net.stop(2)
+    net.run(3.0)
+    assert net.agree({0, 1})
+    net.go_on(2)
+    net.run(3.0)
+    assert net.agree({0, 1, 2}) and net.hosts[2].view.incarnation > born
+    assert all(net.hosts[n].view.known[2].incarnation > born for n in (0, 1))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_restart_within_a_second_is_another_incarnation_and_the_old_one_is_not_heard(seed):
+    net = met(3, seed)
+    old = Message(Kind.PING, 2, net.hosts[2].view.incarnation, 7)
+    net.crash(2)
+    net.run(0.4)
+    net.restart(2)
+    net.run(3.0)
+    assert net.agree({0, 1, 2})
+    view = net.hosts[0].view
+    assert view.known[2].incarnation > old.incarnation
+    before = view.stale
+    assert view.receive(1000.0 * net.now_s, old) == [] and view.stale == before + 1
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_three_of_four_die_at_once(seed):
+    net = met(4, seed)
+    for number in (0, 1, 3):
+        net.crash(number)
+    net.run(KNOWN_S)
+    assert net.agree({2})
+
+
+def calm(seed, figures=None):
+    """Deaths that are held in a minute in which one datagram in ten is lost and nobody dies."""
+    net = Datagrams(4, seed, loss=0.1, figures=figures)
+    net.run(60.0)
+    return len(net.deaths())
+
+
+def test_lost_datagrams_are_no_deaths():
+    assert not any(calm(seed) for seed in range(1, 9))
+
+
+def test_without_suspicion_they_would_be():
+    assert sum(calm(seed, Figures(suspect_ms=0.0)) for seed in range(1, 5)) > 4
+
+
+def test_without_helpers_a_cut_link_would_be_a_death():
+    net = met(3, 1, figures=Figures(helpers=0))
+    net.sever(0, 1)
+    net.run(5.0)
+    assert net.deaths()
+
+
+def test_without_incarnations_one_that_comes_back_would_stay_dead(monkeypatch):
+    monkeypatch.setattr(peers, "MOST_INCARNATION", 0)
+    net = met(3, 1)
+    net.stop(2)
+    net.run(3.0)
+    net.go_on(2)
+    net.run(5.0)
+    assert not net.agree({0, 1, 2})
