--- a/cloverwell/peers/view.py
+++ b/cloverwell/peers/view.py
@@ -158,8 +158,8 @@
         if rumour.proxy == self.number:
             if rumour.state is not State.ALIVE and rumour.incarnation >= self.incarnation:
                 # Said of this process, or of one before it whose clock was ahead: it lives.
+                # The head of whatever it sends says so.
                 self.incarnation = min(MOST_INCARNATION, rumour.incarnation + 1)
-                self._tell(self.number)
             return
         held = self.known.get(rumour.proxy)
         if held is not None and (rumour.incarnation, rumour.state) <= (held.incarnation, held.state):
@@ -167,11 +167,10 @@
         self._hold(now, rumour)
 
     def _hold(self, now: float, rumour: Rumour) -> None:
-        before = self.known.get(rumour.proxy)
+        """What is news: it is told on, so often that all hear it with hardly any doubt."""
         self.known[rumour.proxy] = Known(rumour.incarnation, rumour.state, now)
-        if before is None or (before.state, before.incarnation) != (rumour.state, rumour.incarnation):
-            self.changes.append(Change(rumour.proxy, rumour.state, rumour.incarnation))
-            self._tell(rumour.proxy)
+        self.changes.append(Change(rumour.proxy, rumour.state, rumour.incarnation))
+        self._news[rumour.proxy] = 3 * math.ceil(math.log2(self.total + 1))
 
     # What goes out ------------------------------------------------------------------------------
 
@@ -209,8 +208,8 @@
             return [self._out(helper, Kind.ASK, trial.sequence, trial.whom) for helper in helpers]
         if now - trial.begun_ms < self.figures.period_ms:
             return []
-        known = self.known.get(trial.whom)
-        if not trial.answered and known is not None and known.state is State.ALIVE:
+        known = self.known[trial.whom]
+        if not trial.answered and known.state is State.ALIVE:
             self._hold(now, Rumour(trial.whom, known.incarnation, State.SUSPECT))
         return self._begin(now)
 
@@ -241,15 +240,11 @@
             self._news[number] -= 1
             if not self._news[number]:
                 del self._news[number]
-            known = self.known.get(number)
-            if number != self.number and known is not None and number != to:
+            known = self.known[number]
+            if number != to:
                 told.append(Rumour(number, known.incarnation, known.state))
         return tuple(told)
 
-    def _tell(self, number: int) -> None:
-        """So often that all hear it with hardly any doubt: a few times the logarithm of the tier."""
-        self._news[number] = 3 * math.ceil(math.log2(self.total + 1))
-
     def _next_sequence(self) -> int:
         self._sequence = (self._sequence + 1) % 2**16
         return self._sequence
