Keep rule 2 for reads too: no second copy of a read that may not be repeated, and its group

Ruled out: pools (every moved leg had left no byte), outcomes counted as never run (after full and miss alone).

Lines at fault, olivestair/decide.py: _send_again asked whether a request writes, where it matters whether its effect lets it be out twice, and _may_send sees only attempts that have ended. And _choose alone knew of groups: _ask_origin, reached by a miss after an attempt that may have run, sent to the origin of any zone.

Tests: three in test_rules.py, seen to fail without the change and to pass with it.

--- a/olivestair/decide.py
+++ b/olivestair/decide.py
@@ -235,11 +235,7 @@
         spread = max(1, math.ceil(rec.heat / HEAT_MAX))
         passed = self._rng.randrange(spread)
         for place, server in enumerate(self._walk(now, rec.point, spread)):
-            # A keyed repeat goes only to the group of servers that drops it.
-            keyed, group = rec.ran_at and rec.cls.effect is Effect.KEYED, rec.cls.group
-            if keyed and rec.ran_at.entry.member_of(group) != server.entry.member_of(group):
-                continue
-            if server in rec.tried:
+            if server in rec.tried or not self._drops(rec, server):
                 continue
             # What jammed and dead servers leave, or a hot key, would push a cold one over.
             if not self._warm(now, server) and (place or rec.heat > HEAT_MAX * self._share(now, server)):
@@ -350,6 +346,11 @@
         # A keyed repeat is dropped only while the servers remember the first; leave two rounds for the way.
         return rec.cls.effect is Effect.KEYED and now - rec.ran_ms + self._margin_ms < rec.cls.window_ms
 
+    def _drops(self, rec: Record, server: Server) -> bool:
+        """A repeat of a keyed request that may have run goes only to the group of servers that drops it."""
+        group, ran_at = rec.cls.group, rec.ran_at if rec.cls.effect is Effect.KEYED else None
+        return ran_at is None or ran_at.entry.member_of(group) == server.entry.member_of(group)
+
     def _spare(self, now: float) -> float:
         """The further attempts that the budget still pays for, the window's edges on the safe side."""
         if not self._set.resend_window_ms:
@@ -361,7 +362,7 @@
         return self._set.free_resends + self._set.resend_share * len(self._taken) - len(self._resends)
 
     def _send(self, now: float, rec: Record, server: Server, timeout: float) -> None:
-        if not self._may_send(now, rec):  # the one gate of all sends: what waited may be late
+        if not (self._may_send(now, rec) and self._drops(rec, server)):  # the one gate of all sends
             return self._finish(now, rec, "spent")
         if rec.attempts and not rec.prepaid:
             self._resends.append(now)
@@ -431,9 +432,10 @@
             rec.turn.rest_ms = now + self._set.settle_ms + MARGIN_MS
         rec.prepaid |= event.status is Status.MISS
         stale = self._judge(now, server, event.status, sent, rec)
+        last = rec.attempts == self._set.max_attempts - 1  # a third box would rather miss, and leave none
         if event.closed or rec.done:
             self._end(now, rec)
-        elif not rec.out and (server.origin or (self._origins and (rec.prepaid or self._last(rec)))):
+        elif not rec.out and (server.origin or (self._origins and (rec.prepaid or last))):
             self._ask_origin(now, rec)
         elif not rec.out:
             rec.tried += [server] * (not stale)  # a fresh connection will do
@@ -444,10 +446,6 @@
         if server.origin:
             self._fill_origin(now)
 
-    def _last(self, rec: Record) -> bool:
-        """One attempt is left: a third box would rather miss, and then none is left for the origin."""
-        return rec.attempts == self._set.max_attempts - 1
-
     def _close(self, now: float, server: Server) -> None:
         server.used_ms = -math.inf
         self._acts.append(api.Close(server.entry.server))
@@ -529,8 +527,8 @@
             self._acts += [api.Cancel(rec.id, number) for rec, number in paid]
 
     def _ask_origin(self, now: float, rec: Record) -> None:
-        if not self._origins or not self._may_send(now, rec):  # also after a time-out at the deadline
-            return self._finish(now, rec, "spent")
+        if not self._may_send(now, rec) or not any(self._drops(rec, origin) for origin in self._origins):
+            return self._finish(now, rec, "spent")  # also after a time-out at the deadline
         if rec.key is not None and not rec.write and not rec.fetching:
             if rec.key in self._fetches:
                 return self._park(now, rec)
@@ -615,7 +613,8 @@
             usual = max(server.pace.mean_ms, self._origin_pace.mean_ms if server.origin else rec.pace.mean_ms)
             overdue = sent + usual < server.overtaken_ms and now - sent > self._late * usual
             alone = len(rec.out) == 1 and not (rec.done or rec.begun or rec.write)
-            if overdue and alone and self._late_room >= 1.0 and self._may_send(now, rec):
+            safe = rec.cls.effect is Effect.SAFE  # a read may be of any effect
+            if overdue and alone and safe and self._late_room >= 1.0 and self._may_send(now, rec):
                 self._late_room -= 1.0
                 del server.out[name, number]  # it holds no place that others could have
                 rec.again = rec.attempts
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -141,6 +141,41 @@
             d.serve(name, 1.0)
 
 
+def test_a_keyed_read_that_may_have_run_goes_to_the_origin_only_in_its_group(drive):
+    # Seen on a customer's fares: a time-out at a box, a miss at the next, then the origin of another zone.
+    cls = api.RequestClass(500.0, 2000.0, api.Effect.KEYED, api.Group.ZONE, 1500.0)
+    for zone in (0, 1):
+        d = drive(servers=0, origin=False, classes=(cls,), origin_kind=7, zones=("a", "b"))
+        boxes = [api.ServerEntry(name, zone=1) for name in ("s0", "s1")]
+        d.list(api.ListKind.FULL, [*boxes, api.ServerEntry("origin", kind=7, zone=zone)])
+        name = d.ask("k")
+        d.answer(name, Status.ERROR, after=1.0)
+        d.answer(name, Status.MISS, after=1.0)
+        if zone == 1:
+            assert d.sends[name][2] == "origin"
+        else:
+            assert len(d.sends[name]) == 2 and isinstance(d.ended[name], api.Fail)
+        # What has certainly not run may go anywhere.
+        fresh = d.ask("k2")
+        d.answer(fresh, Status.MISS, after=1.0)
+        assert d.sends[fresh][1] == "origin"
+
+
+@pytest.mark.parametrize("effect", [api.Effect.KEYED, api.Effect.UNSAFE])
+def test_a_read_that_may_not_simply_be_repeated_is_never_out_twice(drive, effect):
+    # Seen 4 to 36 times a day where a read's class may not run twice: a second copy beside a late first one.
+    cls = api.RequestClass(500.0, 2000.0, effect, window_ms=1500.0)
+    for one, copies in ((cls, 1), (api.RequestClass(500.0, 2000.0), 2)):
+        d = drive(servers=1, classes=(one,), may_cancel=True, may_copy=True)
+        for number in range(60):
+            d.serve(d.ask(f"warm{number}"), 40.0)
+        late = d.ask("k")
+        for number in range(15):
+            d.pass_time(30)
+            d.serve(d.ask(f"more{number}"), 30.0)
+        assert len(d.sends[late]) == copies
+
+
 @pytest.mark.parametrize("state", [api.ServerState.DRAINING, api.ServerState.GONE])
 def test_drains_are_kept_from_the_moment_of_being_told(drive, state):
     d = drive(servers=2)
