Send nothing on that has waited past its window, its box's drain time or its client

- A connection that came up after an attempt's time, before its timer in the same turn of a loop that was held up, was given to it: a repeat 201 ms after the last moment of its window left all the same.
The time was looked at by the timer alone (Pool._wait), not where the bytes leave (Pool.freed, and start for one held back by clear_ms).
- An attempt that waited for a connection when its box began to drain left past the drain time: Pool.start asked Back.late, Pool.freed did not.
- Dispatcher.gone let every attempt of a write go on, also one of which no byte had left: waiting for a connection, or for the close of the one before.
The module's own queue was right: a write that waits for a place at the origin ends with its client (test added, passed before).
- A command cut off before its last byte had left our machine counted as reset, so that it may have run: an order failed that could have gone elsewhere.
The protocol says that it never ran.
It moves now, as one held back does.
- A box that is named at another address got more requests over connections to the old one, busy or on their way.

Now Pool._too_late is asked wherever a byte would leave; BoxConnection._take_unsent finds the one attempt whose last byte has not left, split or half taken by the machine; connections to an old address end with what is out on them.

--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -76,8 +76,10 @@
             return
         authorisation.close()
         self._facade.report(authorisation, f.Gone())
-        if not authorisation.write:  # writes are let finish
-            for attempt in list(authorisation.legs.values()):
+        for attempt in list(authorisation.legs.values()):
+            # A write that is out is let finish. One that waits for a connection, or for the close of the one
+            # before, is not sent on for nobody.
+            if not authorisation.write or attempt.pool.unsent(attempt):
                 attempt.pool.give_up(attempt, Outcome.CALLED_OFF)
         self._forget(authorisation)
         self.settle()
--- a/cloverwell/net/box_connection.py
+++ b/cloverwell/net/box_connection.py
@@ -40,6 +40,7 @@
         self.flow: Flow | None = None  # a long value that is coming
         self.flow_ms = 0.0  # when a piece of it came last
         self._last = False  # nothing may follow on it
+        self.moved = False  # its box is elsewhere: what is out here is let finish
 
     def command(self, attempt: Attempt) -> bytes:
         """The bytes of an attempt."""
@@ -89,6 +90,10 @@
             attempt.written_ms = self._pool.now()
             self.legs.append(attempt)
 
+    def unsent(self, attempt: Attempt) -> bool:
+        """It is the last here, and the machine has not taken all that was to leave."""
+        return self._writing and bool(self.legs) and attempt is self.legs[-1]
+
     def _spoilt(self) -> bool:
         """The box has closed it, or sent what no leg is owed: a write would be reset, perhaps for good."""
         try:
@@ -170,11 +175,7 @@
     def give_up(self, attempt: Attempt, outcome: Outcome) -> bool:
         """Ends that leg and with it the connection; False if the leg is not here."""
         if self._split is not None and self._split[0] is attempt:
-            self._split[2].cancel()
-            self._split = None
-            self.drop(outcome)
-            # Without its last byte it can't have run: to call it off, or time it out, leaves nothing.
-            attempt.end(Outcome.NOT_CONNECTED if outcome is Outcome.TIMED_OUT else outcome)
+            self.drop(outcome, attempt)
             return True
         if attempt not in self.legs:
             return False
@@ -192,33 +193,46 @@
 
     def drop(self, outcome: Outcome, of: Attempt | None = None) -> None:
         """Ends the connection and each of its legs: `of` by that outcome, the others by a reset."""
+        unsent = self._take_unsent()
         legs, self.legs = self.legs, deque()
         self.end(abort=True)
         self._pool.lost(self)
         self._break_flow()
         for attempt in legs:
             self._pool.closed(attempt, outcome if attempt is of else Outcome.RESET)
-        self._go_elsewhere()
+        if unsent is not None and unsent is of:
+            # Without its last byte it can't have run: to call it off, or time it out, leaves nothing.
+            unsent.end(Outcome.NOT_CONNECTED if outcome is Outcome.TIMED_OUT else outcome)
+        elif unsent is not None:
+            self._pool.move(unsent)
 
-    def _go_elsewhere(self) -> None:
+    def _take_unsent(self) -> Attempt | None:
+        """The attempt whose last byte has not left, if there is one: it is not out at the box."""
         if self._split is not None:
             (attempt, _, timer), self._split = self._split, None
             timer.cancel()
-            self._pool.move(attempt)
+            return attempt
+        if self.legs and self.unsent(self.legs[-1]):
+            attempt = self.legs.pop()
+            attempt.written_ms = None
+            return attempt
+        return None
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         by_box = not self.ended
         super().connectionLost(reason)
+        unsent = self._take_unsent()
         legs, self.legs = self.legs, deque()
         if by_box:
             # From the last bytes on: what a leg was held back for says nothing of the way.
             since = legs[0].written_ms if legs else self._first_ms
-            after = self._pool.now() - since if legs or self._split else None
+            after = self._pool.now() - since if legs or unsent is not None else None
             begun = self in self._pool.begun
             torn = not reason.check(ConnectionDone)
-            self._pool.broken(self.served, self._age_ms, after, begun, self._split is not None, torn)
+            self._pool.broken(self.served, self._age_ms, after, begun, unsent is not None, torn)
         self._pool.lost(self)
         self._break_flow()
         for attempt in legs:
             attempt.end(Outcome.RESET)
-        self._go_elsewhere()
+        if unsent is not None:
+            self._pool.move(unsent)
--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -37,9 +37,13 @@
 
     def __init__(self, pool: Pool) -> None:
         self._pool = pool
+        self._address = pool.address
         self._asked_ms = pool.now()
 
-    def buildProtocol(self, addr: IPv4Address) -> BoxConnection:
+    def buildProtocol(self, addr: IPv4Address) -> BoxConnection | None:
+        if self._address != self._pool.address:  # it has moved meanwhile
+            self._pool.mistaken()
+            return None
         return self._pool.build(self._asked_ms)
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
@@ -76,11 +80,18 @@
 
     # Legs --------------------------------------------------------------------------------------
 
-    def start(self, attempt: Attempt) -> None:
+    def _too_late(self, attempt: Attempt) -> bool:
+        """Not a byte of it may leave any more: its own time is over, or its box may get nothing new.
+
+        It may have waited, for a connection or for the close of the one before, and timers lag."""
         now = self.now()
-        if self.address is None or self._back.late(self.box, now):
+        return self.address is None or now > attempt.write_by_ms or self._back.late(self.box, now)
+
+    def start(self, attempt: Attempt) -> None:
+        if self._too_late(attempt):
             attempt.end(Outcome.NOT_CONNECTED)
             return
+        now = self.now()
         self._back.started(self.box, len(self.connections) - len(self.idle) + 1, now)
         self._place(attempt)
 
@@ -89,7 +100,7 @@
         attempt.moves += 1
         if attempt.over:
             return
-        if attempt.moves > MAX_MOVES or self._back.late(self.box, self.now()):
+        if attempt.moves > MAX_MOVES or self._too_late(attempt):
             attempt.end(Outcome.NOT_CONNECTED)
         else:
             self._place(attempt)
@@ -124,7 +135,7 @@
         # Giving up one leg resets all behind it, and an order that is reset may never be sent again.
         legs = [attempt, *connection.legs]
         return (
-            not connection.ended
+            not (connection.ended or connection.moved)
             and bool(connection.legs)
             and len(legs) <= self._pools.legs_each
             and connection.flow is None
@@ -154,6 +165,10 @@
         if not any(connection.give_up(attempt, outcome) for connection in list(self.connections)):
             attempt.end(outcome)
 
+    def unsent(self, attempt: Attempt) -> bool:
+        """Its last byte has certainly not left: nothing of it may have run."""
+        return attempt.written_ms is None or any(one.unsent(attempt) for one in self.connections)
+
     @property
     def holds(self) -> bool:
         """Whether no request may have two attempts out together."""
@@ -199,6 +214,12 @@
         if self._waiting and len(self._waiting) > self.opening:
             self._waiting.popleft().end(Outcome.NOT_CONNECTED)
 
+    def mistaken(self) -> None:
+        """One that came up leads to where the box was: who waits gets another."""
+        self.opening -= 1
+        self._pools.budget.give_back(Side.BACK)
+        self._open_for_waiting()
+
     def opened(self, connection: BoxConnection) -> None:
         self.opening -= 1
         self.connections.append(connection)
@@ -209,18 +230,21 @@
 
     def freed(self, connection: BoxConnection) -> None:
         """A connection has no leg, or one less: the leg that has waited longest takes it."""
-        if not connection.free:
-            return
-        while self._waiting:
+        while connection.free and self._waiting and not connection.moved:
             attempt = self._waiting.popleft()
-            if not self._hand_to(connection, attempt):
-                self.start(attempt)
-            return
-        if self.left:
+            if self._too_late(attempt):
+                attempt.end(Outcome.NOT_CONNECTED)
+            elif not self._hand_to(connection, attempt):
+                return self.start(attempt)
+        if not connection.free:
+            return None
+        if self.left or connection.moved:
             connection.drop(Outcome.RESET)
+            self._open_for_waiting()
         else:
             self.idle.append(connection)
             self._pools.idle[connection] = self
+        return None
 
     def _pop_idle(self) -> BoxConnection:
         connection = self.idle.pop()
@@ -275,6 +299,9 @@
         limit = self._back.idle_limit_ms(self.box)
         while self.idle and now - self.idle[0].idle_since_ms >= limit:
             self.retire(self.idle[0])
+        self._open_for_waiting()
+
+    def _open_for_waiting(self) -> None:
         while len(self._waiting) > self.opening and self._pools.may_open(self):
             self._open()
 
@@ -359,6 +386,8 @@
         self.back.named(box, pool.kind, cold_until_ms)
         if pool.address != (host, port):
             pool.hang_up()
+            for connection in pool.connections:
+                connection.moved = True
             pool.address = (host, port)
 
     def hang_up(self, box: str) -> None:
--- a/cloverwell/net/routing_table.py
+++ b/cloverwell/net/routing_table.py
@@ -18,8 +18,8 @@
 from cloverwell.wheel import Timer, Wheel
 from olivestair.api import ServerEntry, ServerState, Settings
 
-# A watch that has fallen silent counts as told 6 s later, or 2 s after the end of its wait, and soon after that
-# a box that drains must get nothing new. So it is found out, and the same is asked anew, before the first of
+# A watch that has fallen silent counts as told 6 s later, or 2 s after the end of its wait; soon after that a
+# box that drains must get nothing new. So it is found out, and the same is asked anew, before the first of
 # them: where lists may be 10 s old by 5.2 s, which leaves what a busy discovery takes to answer.
 WAIT_SHARE = 0.4  # of `ask-within`: what a watch may wait for
 LATE_MS = (
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,148 @@
+"""What waits for a connection, a place or a close: not sent when its time is over or its client has left.
+
+The instant is forced: `late` lets the clock run on without a turn of the loop, as when the loop was held up.
+"""
+
+import json
+
+import pytest
+from scenario import Player
+
+from cloverwell.facade import Outcome
+from lab.proxy import SETTINGS
+
+
+def late(player, ms):
+    player.reactor.rightNow += ms / 1000.0
+
+
+def told(player, member, revision=42):
+    listing = {"revision": revision, "complete": False, "members": [member]}
+    player.play(f"discovery expect GET *\ndiscovery send 200 {json.dumps(listing)}")
+
+
+def sent(player, name, place=1):
+    return player.connection(name, place - 1)[1].value()
+
+
+def settings_with(part, **more):
+    return SETTINGS | {part: SETTINGS[part] | more}
+
+
+def test_a_connection_that_comes_up_late_is_not_given_to_an_attempt_whose_time_is_over():
+    player = Player()
+    player.play("client send mg k1 v O1 Pc=page,t=acme,d=1900")
+    late(player, 251)
+    assert sent(player, "s1") == b""
+    player.play("client expect SERVER_ERROR busy*")
+    # Its place came back, and the connection serves the next.
+    assert not player.service.pools.of("s1")._waiting
+    player.play("wait 600\nclient send mg k2 v O2 Pc=page,t=acme,d=900\ns1 expect mg k2 *")
+
+
+@pytest.mark.parametrize("waited, leaves", [(190, True), (201, False)])
+def test_a_repeat_whose_window_ends_while_it_waits_for_a_connection_is_not_sent(waited, leaves):
+    # Boxes drop a repeat for 1500 ms: one that leaves later may run twice.
+    player = Player()
+    player.play("client send ms k1 1 O1 Pc=adjust,t=acme,d=1950|a\norigin expect PUT *")
+    player.play("wait 1300\norigin close")
+    late(player, waited)
+    assert bool(sent(player, "origin", 2)) == leaves
+    if not leaves:
+        player.play("wait 5\nclient expect SERVER_ERROR busy*")
+
+
+@pytest.mark.parametrize("waited, leaves", [(90, True), (101, False)])
+def test_an_attempt_that_waits_for_a_connection_does_not_leave_past_the_drain_time(waited, leaves):
+    # The site allows 150 ms, of which 50 are the way there.
+    player = Player(settings=settings_with("guarantees", **{"drain-grace": 150.0}))
+    player.play("wait 100\nclient send mg k1 v O1 Pc=page,t=acme,d=900")
+    told(player, {"id": "s1", "host_port": "127.0.0.9:201", "flavor": "large", "phase": "terminating"})
+    late(player, waited)
+    assert bool(sent(player, "s1")) == leaves
+    if not leaves:
+        player.play("wait 5\norigin expect GET /k1 *\norigin send 200 a\nclient expect VA 1 O1|a")
+
+
+def test_a_write_whose_client_left_while_it_waited_for_a_connection_is_not_sent():
+    # Seen in Dispatcher.gone: every attempt of a write was let go on, also one of which no byte had left.
+    player = Player()
+    player.play("client send ms k1 1 O1 Pc=order,t=acme,d=1900|a\nclient close\nwait 10")
+    assert sent(player, "origin") == b"" and not player.service.dispatcher.open_count
+
+
+def test_a_write_whose_client_left_while_it_waited_for_a_place_is_not_sent():
+    player = Player()
+    count = 40  # more than the origin is asked for at once
+    for place in range(1, count + 1):
+        player.play(f"client#{place} send ms k{place} 1 O{place} Pc=order,t=acme,d=1900|a")
+    out = player.service.pools.of("origin").opening
+    assert 1 < out < count
+    for place in range(1, out + 1):
+        assert b"PUT" in sent(player, "origin", place)
+    for place in range(out + 1, count + 1):
+        player.play(f"client#{place} close")
+    player.play("\n".join(f"origin#{place} send 200 r" for place in range(1, out + 1)) + "\nwait 300")
+    assert player.service.dispatcher.open_count == 0
+    assert sum(sent(player, "origin", place).count(b"PUT") for place in range(1, out + 1)) == out
+
+
+def test_a_write_that_is_out_is_let_finish_though_its_client_has_left():
+    player = Player()
+    player.play(
+        "client send ms k1 1 O1 Pc=order,t=acme,d=1900|a\norigin expect PUT *\nclient close\nwait 400"
+    )
+    assert not player.connection("origin", 0)[1].ended and player.service.dispatcher.open_count == 1
+    player.play("origin send 200 r1")
+    assert player.service.dispatcher.open_count == 0
+
+
+@pytest.mark.parametrize("stays", [True, False])
+def test_a_second_attempt_that_waits_for_the_close_of_the_first(stays):
+    # Where a request may not have two attempts out together, the next waits until the close has arrived.
+    player = Player(settings=settings_with("limits", **{"second-copies": False}))
+    player.service.back.reach_ms = lambda box: 40.0
+    player.play("client send ms k1 1 O1 Pc=adjust,t=acme,d=900|a\norigin expect PUT *")
+    attempt = player.service.dispatcher._open["1"].legs[0]
+    attempt.pool.give_up(attempt, Outcome.CALLED_OFF)
+    player.play("origin expect end\nwait 30")
+    assert player.next_asked("origin") is None and player.service.dispatcher.open_count == 1
+    if stays:
+        player.play("wait 15\norigin#2 expect PUT /k1 *\norigin#2 send 200 r\nclient expect HD O1 cr")
+    else:
+        player.play("client close\nwait 300")
+        assert player.next_asked("origin") is None and player.service.dispatcher.open_count == 0
+
+
+def test_a_command_that_was_cut_off_in_the_middle_never_ran_and_goes_elsewhere():
+    # The machine has taken three bytes when the box breaks off: an order can't run without its last byte.
+    player = Player()
+    player.play("client send ms k1 1 O1 Pc=order,t=acme,d=1900|a")
+    player.play("origin expect PUT *\norigin send 200 r1\nclient expect HD O1 cr1")
+    _, transport = player.connection("origin", 0)
+    transport.send = lambda data: 3
+    player.play("client send ms k2 1 O2 Pc=order,t=acme,d=900|a\norigin close")
+    player.play("origin#2 expect PUT /k2 *\nwait 50\norigin#2 send 200 r2\nclient expect HD O2 cr2")
+
+
+def test_a_command_of_which_the_rest_still_waits_to_leave_is_not_sent_on_for_a_client_that_left():
+    player = Player()
+    player.play("client send ms k1 1 O1 Pc=order,t=acme,d=1900|a\norigin expect PUT *\norigin send 200 r0")
+    _, transport = player.connection("origin", 0)
+    transport.send = lambda data: 3
+    player.play("client send ms k3 1 O3 Pc=order,t=acme,d=900|a\nclient close\norigin expect end\nwait 300")
+    assert player.next_asked("origin") is None and player.service.dispatcher.open_count == 0
+
+
+def test_a_box_that_moves_gets_nothing_more_at_its_old_address():
+    player = Player()
+    player.ports["s1b"] = 301
+    player.play("wait 100\nclient send mg k1 v O1 Pc=page,t=acme,d=900\ns1 expect mg k1 *")
+    player.play("client#2 send mg k2 v O2 Pc=page,t=acme,d=900")  # its connection is on its way
+    told(player, {"id": "s1", "host_port": "127.0.0.9:301", "flavor": "large"})
+    # What is out is let finish, and its connection goes; the other one is never used.
+    player.play("s1 send VA 1 O1|a\nclient expect VA 1 O1|a\ns1 expect end")
+    factory = player.next_asked("s1")
+    assert factory.buildProtocol(None) is None
+    player.play("s1b expect mg k2 *\ns1b send VA 1 O2|b\nclient#2 expect VA 1 O2|b")
+    assert player.service.pools.of("s1").opening == 0
