--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -9,7 +9,7 @@
 from cloverwell.facade import Facade, Outcome
 from cloverwell.flow import Flow
 from cloverwell.log import Log
-from cloverwell.net.pool import Pools
+from cloverwell.net.pools import Pools
 from cloverwell.wheel import Wheel
 
 # Before its client gives up, an authorisation that nothing has ended is failed. The module ends its legs two
--- /dev/null
+++ b/cloverwell/net/pools.py
@@ -0,0 +1,138 @@
+"""All boxes' pools, within one budget of descriptors."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorTCP
+
+from cloverwell.connections.back import Back
+from cloverwell.connections.budget import Budget, Side
+from cloverwell.connections.figures import Figures
+from cloverwell.log import Log
+from cloverwell.net.box_connection import BoxConnection
+from cloverwell.net.pool import Pool
+from cloverwell.wheel import Wheel
+
+SWEEP_MS = 50.0
+STALL_MS, STALL_LOOKS = 25.0, 4  # an answer that has begun and does not go on for so many looks is given up
+AHEAD_ROOM = 0.1  # of the descriptors: so many stay free when connections are opened ahead
+
+
+class Pools:
+    """All boxes' pools, within one budget of descriptors."""
+
+    def __init__(
+        self,
+        reactor: IReactorTCP,
+        wheel: Wheel,
+        log: Log,
+        build: Callable[[Pool, float], BoxConnection],
+        budget: Budget,
+        back: Back,
+        figures: Figures,
+        legs_each: int,
+        connect_timeout_ms: float,
+        hold: bool = False,
+    ) -> None:
+        self.reactor = reactor
+        self.wheel = wheel
+        self.log = log
+        self.build = build
+        self.budget = budget
+        self.back = back
+        self.figures = figures
+        self.legs_each = legs_each
+        self.connect_timeout_ms = connect_timeout_ms
+        self.hold = hold  # whether a leg that we close stays out until the close can have reached its box
+        self.borrow: Callable[[], None] = lambda: None  # asks the clients' side for a descriptor
+        self._pools: dict[str, Pool] = {}
+        self.idle: OrderedDict[BoxConnection, Pool] = OrderedDict()  # of all boxes, longest idle first
+        self.begun: dict[BoxConnection, int] = {}  # part of an answer is there: looks since more of it came
+        self._sweep()
+        self._look_for_stalls()
+
+    def _look_for_stalls(self) -> None:
+        # Looks are counted, not time: a loop that was held up has not read what came meanwhile.
+        for connection, looks in list(self.begun.items()):
+            if looks >= STALL_LOOKS:
+                connection.framingLost("it stopped short")
+            else:
+                self.begun[connection] = looks + 1
+        self.wheel.not_before(self.wheel.now() + STALL_MS, self._look_for_stalls)
+
+    def _sweep(self) -> None:
+        now = self.wheel.now()
+        for box, pool in list(self._pools.items()):
+            pool.sweep(now)
+            if not pool.left:
+                pool.open_ahead(now)
+            elif pool.unused:  # successors have new names: the pools of the gone would gather
+                del self._pools[box]
+                self.back.forget(box)
+                self.figures.forget(box)
+        self.back.limits.tick(now)
+        self.wheel.at(now + SWEEP_MS, self._sweep)
+
+    def of(self, box: str) -> Pool:
+        if box not in self._pools:  # it left while its choice was on the way: a failure to connect
+            self._pools[box] = Pool(self, box, origin=False)
+            self._pools[box].left = True
+        return self._pools[box]
+
+    def names(self) -> set[str]:
+        return set(self._pools)
+
+    def name(self, box: str, host: str, port: int, origin: bool, cold_until_ms: float) -> None:
+        """A box that the routing table names, with its address as it is now."""
+        pool = self._pools.get(box)
+        if pool is None:
+            pool = self._pools[box] = Pool(self, box, origin)
+        pool.left = False
+        self.back.named(box, pool.kind, cold_until_ms)
+        if pool.address != (host, port):
+            pool.hang_up()
+            for connection in pool.connections:
+                connection.moved = True
+            pool.address = (host, port)
+
+    def hang_up(self, box: str) -> None:
+        """Closes idle connections, if the box wants their places; what is out at the box is let finish.
+
+        That they may be stale is no reason here: their ages are known better, and looked at before each use.
+        """
+        if (pool := self._pools.get(box)) is not None and self.back.crammed(box):
+            pool.hang_up()
+
+    def leave(self, box: str) -> None:
+        """The box drains or is gone: a connection that falls idle from now on is of no more use."""
+        if (pool := self._pools.get(box)) is not None:
+            pool.left = True
+            self.back.left(box, self.wheel.now())
+            pool.hang_up()
+
+    def may_open(self, pool: Pool) -> bool:
+        """Within the box's cap and the budget; an idle connection of another box makes room."""
+        if not self.back.may_open(pool.box, pool.held, self.wheel.now()):
+            return False
+        if not self.budget.room(Side.BACK) and not self.lend():
+            self.borrow()
+        return self.budget.room(Side.BACK) > 0
+
+    def lend(self) -> bool:
+        """Closes the connection that has been idle longest."""
+        if not self.idle:
+            return False
+        connection, pool = next(iter(self.idle.items()))
+        pool.retire(connection)
+        return True
+
+    def shrink(self) -> None:
+        """The budget has become smaller: what is idle goes."""
+        while self.budget.over and self.lend():
+            pass
+
+    def spare_room(self) -> bool:
+        """Whether one may be opened that no leg waits for: not with the last descriptors."""
+        return self.budget.room(Side.BACK) > AHEAD_ROOM * self.budget.total
--- a/cloverwell/net/routing_table.py
+++ b/cloverwell/net/routing_table.py
@@ -14,7 +14,7 @@
 from cloverwell.facade import News, NoNews
 from cloverwell.log import Log
 from cloverwell.net.http import HttpReceiver, request
-from cloverwell.net.pool import Pools
+from cloverwell.net.pools import Pools
 from cloverwell.wheel import Timer, Wheel
 from olivestair.api import ServerEntry, ServerState, Settings
 
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -22,7 +22,8 @@
 from cloverwell.net.box_connection import BoxConnection
 from cloverwell.net.cache_leg import CacheConnection
 from cloverwell.net.origin_leg import OriginConnection
-from cloverwell.net.pool import Pool, Pools
+from cloverwell.net.pool import Pool
+from cloverwell.net.pools import Pools
 from cloverwell.net.routing_table import RoutingTable
 from cloverwell.serving import Serving, State
 from cloverwell.wheel import Wheel
--- a/lab/legs.py
+++ b/lab/legs.py
@@ -16,7 +16,7 @@
 from cloverwell.facade import Leg, Outcome
 from cloverwell.log import Log
 from cloverwell.net.cache_leg import CacheConnection
-from cloverwell.net.pool import Pools
+from cloverwell.net.pools import Pools
 from cloverwell.wheel import Wheel
 from lab.boxes import Box
 from lab.net import Net
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -16,7 +16,7 @@
 from cloverwell.connections.back import Back
 from cloverwell.flow import Flow
 from cloverwell.net.cache_leg import CacheConnection
-from cloverwell.net.pool import Pools
+from cloverwell.net.pools import Pools
 from cloverwell.serving import Serving
 from lab.cli import lab
 from lab.judge import RULES
