See a client leave while it is not read, and owe nothing at the end: half commands, queue, lag

Each was seen to fail:

- Acquirer.hold takes the connection out of the reactor, so a client that left with 64 commands in hand was not seen, by an end or a reset, until one was answered; all went on waiting, and were sent for nobody.
- let_go(cut=True) shut a connection in the middle of a command without a word, 750 ms after SIGTERM.
The rest may come then: a request that was taken, and never answered.
It is told `SERVER_ERROR busy` (it never ran) and closed behind, not reset.
- Service._all_left took the half second that last answers get from the clock alone: after a lag of the loop the program ended in its first look, with a request unread in the machine's buffer.
- BoxConnection.send looked for unread bytes before writes only, so a late second `SERVER_ERROR` (which carries no id) was taken as the next read's answer: a request that ran counted as one that never did.

--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -13,7 +13,7 @@
 
 from cloverwell.authorisation import Answer, Authorisation, Declined, Served
 from cloverwell.flow import Flow, Stage
-from cloverwell.net.lines import MAX_LINE, MAX_WRITE, PEEK, RingLineReceiver
+from cloverwell.net.lines import MAX_LINE, MAX_WRITE, PEEK, RingLineReceiver, hung_up
 
 if TYPE_CHECKING:
     from cloverwell.net.acquirer_side import AcquirerSide
@@ -27,6 +27,7 @@
 FLOW_PIECE = 32 * 1024  # of what goes out: the transport holds so much while its client does not read
 BUSY_MS = 1000  # how long a client should keep away from a proxy that is short of descriptors
 FAILED = b"SERVER_ERROR failed\r\n"
+BUSY = b"SERVER_ERROR busy\r\n"
 NOT_WANTED = b"SERVER_ERROR draining\r\n"
 
 
@@ -75,6 +76,18 @@
         elif begun:
             self._side.more(self)
 
+    def hold(self) -> None:
+        super().hold()
+        self._side.not_read.add(self)
+
+    def release(self) -> None:
+        self._side.not_read.discard(self)
+        super().release()
+
+    def has_left(self) -> bool:
+        """Its client has closed, which reading would tell, were it read: what waits here is for nobody."""
+        return bool(self._turns) and hung_up(self._socket)
+
     def _pause(self, wait_ms: float) -> None:
         if not self._paused:
             self._paused = True
@@ -229,10 +242,13 @@
 
     def _lose(self, reason: str) -> None:
         """Framing is lost: the answers that are owed still leave, and this one is the last."""
+        self._say_last(f"CLIENT_ERROR {reason}\r\n".encode())
+
+    def _say_last(self, words: bytes) -> None:
         self._lost = True
         self._in.clear()
         self.hold()
-        self._say(f"CLIENT_ERROR {reason}\r\n".encode())
+        self._say(words)
 
     def framingLost(self, reason: str) -> None:
         self._lose(reason)
@@ -338,6 +354,10 @@
             return False
         if (not cut and not self.between_requests) or self._unread():
             return False
+        if self.halfway:
+            # What comes of it yet would be a request that was taken, and is owed a line.
+            self._say_last(BUSY)
+            return True
         self.ended = True
         self._side.closing(self)
         # At once, not with the reactor's next turn: a request that comes before it would be lost. The client
--- a/cloverwell/net/acquirer_side.py
+++ b/cloverwell/net/acquirer_side.py
@@ -46,6 +46,7 @@
         self.classes = {cls.name: place for place, cls in enumerate(settings.classes)}
         self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
         self.connections: set[Acquirer] = set()
+        self.not_read: set[Acquirer] = set()  # those of them that are held: their close would not be seen
         self.front = Front(budget.most(Side.FRONT), asking, wheel.now())
         self._log = log
         self._budget = budget
@@ -80,6 +81,7 @@
     def closed(self, connection: Acquirer) -> None:
         if connection in self.connections:
             self.connections.discard(connection)
+            self.not_read.discard(connection)
             self._budget.give_back(Side.FRONT)
             self.front.closed(connection)
             self._go_on()
@@ -141,6 +143,8 @@
     def _sweep(self) -> None:
         now = self.wheel.now()
         self.wheel.at(now + SWEEP_MS, self._sweep)
+        for connection in [one for one in self.not_read if one.has_left()]:
+            connection.end(abort=True)
         overdue = self.front.overdue(now)
         self._close(overdue, len(overdue))
         self._keep_room()
--- a/cloverwell/net/box_connection.py
+++ b/cloverwell/net/box_connection.py
@@ -63,7 +63,7 @@
         """False if not a byte has been handed over."""
         data = self.command(attempt)
         rest = data[-1:] if use is Use.SPLIT else b""
-        if (attempt.authorisation.write and self._spoilt()) or not self.put(data[:-1] if rest else data):
+        if (not self.legs and self._spoilt()) or not self.put(data[:-1] if rest else data):
             return False
         now = self._pool.now()
         if not self.legs:
@@ -95,7 +95,8 @@
         return self._writing and bool(self.legs) and attempt is self.legs[-1]
 
     def _spoilt(self) -> bool:
-        """The box has closed it, or sent what no leg is owed: a write would be reset, perhaps for good."""
+        """The box has closed it, or sent what no leg is owed: that would be read as this one's answer, or the
+        leg be reset, perhaps for good."""
         try:
             self._socket.recv(1, PEEK)
         except BlockingIOError:
--- a/cloverwell/net/lines.py
+++ b/cloverwell/net/lines.py
@@ -1,5 +1,6 @@
 """Twisted's LineReceiver over ring buffers: one for what comes in and one for what goes out."""
 
+import select
 import socket
 
 from twisted.internet.interfaces import IPullProducer
@@ -17,6 +18,13 @@
 PIECE = 64 * 1024  # what the transport is given at once
 
 
+def hung_up(handle: socket.socket) -> bool:
+    """Whether the other side has closed or reset it, seen also behind bytes that nobody has read."""
+    poll = select.poll()
+    poll.register(handle, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class FramingError(Exception):
     """What has come can't be cut into messages any more."""
 
--- a/cloverwell/net/port.py
+++ b/cloverwell/net/port.py
@@ -2,12 +2,15 @@
 
 import errno
 import os
+import select
 import socket
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from twisted.internet import tcp
 
+MOST_TURNS = 32  # at the end, each as many as the factory lets in at once: the machine's queue is shorter
+
 
 class Bounded(Protocol):
     def may_accept(self) -> int:
@@ -58,10 +61,16 @@
 
     def stopListening(self) -> Any:
         # What waits in the queue would be reset where no other process holds the socket.
-        if self._shouldShutdown:
-            self.doRead()
+        for _ in range(MOST_TURNS):
+            if self._shouldShutdown and self._waits():
+                self.doRead()
         return super().stopListening()
 
+    def _waits(self) -> bool:
+        poll = select.poll()
+        poll.register(self.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     @property
     def numberAccepts(self) -> int:
         return self.factory.may_accept()
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -129,6 +129,7 @@
         self._will: Will | None = None
         self._heir_serves = False
         self._emptying = False  # a look is due
+        self._cut = False  # a look has found that half commands are cut
         self._linger_until_ms = 0.0
 
     def start(self, listen: Callable = _listen, adopt: Callable = _adopt, folder: str = "") -> None:
@@ -285,7 +286,8 @@
             return False
         if not self.side.connections:
             return not self.serving.accepts(now)
-        if not self.serving.cuts(now):
+        if not self._cut:  # counted from a look on, not by the clock alone: a loop held up has not read yet
+            self._cut = self.serving.cuts(now)
             self._linger_until_ms = now + LINGER_MS
             return False
         # A client that does not read its answer must not keep the program from its end.
--- a/lab/net.py
+++ b/lab/net.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
 from lab.clock import VirtualTime
 
 Address = tuple[str, int]
+NOBODY = os.eventfd(0)  # a descriptor on which nothing ever happens
 WINDOW = 256 * 1024  # bytes on the way or unread, beyond which a write is not taken whole
 
 
@@ -178,6 +180,10 @@
     def setTcpNoDelay(self, on: bool) -> None:
         pass
 
+    def fileno(self) -> int:
+        """For a look whether the other side has closed, which is told here by `connectionLost` alone."""
+        return NOBODY
+
     def getHandle(self) -> End:
         return self
 
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,186 @@
+"""A whole proxy on real sockets, one turn of its loop at a time: the crossing of two events is forced.
+
+The proxy runs in this process on a reactor of its own, which turns only when `turn` or `until` is called;
+what the test does in between happens at one instant for the proxy. Its neighbours are plain sockets in the
+test's hands. `skip` moves its clock on without waiting.
+"""
+
+import contextlib
+import io
+import socket
+import struct
+import time
+
+from twisted.internet.epollreactor import EPollReactor
+
+from cloverwell.config import Config, Limits
+from cloverwell.log import Log
+from cloverwell.net.port import listen
+from cloverwell.net.routing_table import Listing, Member
+from cloverwell.service import Service
+from cloverwell.wheel import monotonic_ms
+from lab.proxy import SETTINGS
+from olivestair.settings import read_settings
+
+PATIENCE_S = 5.0
+RESET = struct.pack("ii", 1, 0)
+
+
+class Reactor(EPollReactor):
+    stopped = False
+
+    def stop(self):
+        self.stopped = True
+
+    def installWaker(self):
+        """No other thread calls."""
+
+
+def reset(conn):
+    """Closes it with a reset instead of an end."""
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    conn.close()
+
+
+def read(number, wait_ms=2000, cls="page"):
+    return f"mg k{number} v O{number} Pc={cls},t=acme,d={wait_ms}\r\n".encode()
+
+
+def write(number, wait_ms=2000, cls="order", value=b"a"):
+    head = f"ms k{number} {len(value)} O{number} Pc={cls},t=acme,d={wait_ms}\r\n"
+    return head.encode() + value + b"\r\n"
+
+
+class Node:
+    """A box, the origin or discovery: connections are taken when the test says so."""
+
+    def __init__(self, rig, backlog=64):
+        self.rig = rig
+        self.listening = socket.socket()
+        self.listening.bind(("127.0.0.1", 0))
+        self.listening.listen(backlog)
+        self.listening.setblocking(False)
+        self.address = self.listening.getsockname()
+        self.taken = []
+
+    def take(self):
+        """The next connection of the proxy."""
+        conn = self.rig.until(self._accept, "no connection came")
+        return conn
+
+    def _accept(self):
+        try:
+            conn, _ = self.listening.accept()
+        except BlockingIOError:
+            return None
+        conn.setblocking(False)
+        self.taken.append(conn)
+        return conn
+
+    def jam(self):
+        """Fills the queue, so that connections don't come up; the list of what must be closed to let them."""
+        held = []
+        for _ in range(8):
+            conn = socket.socket()
+            conn.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                conn.connect(self.address)
+            held.append(conn)
+        self.rig.socks += held
+        return held
+
+    def close(self):
+        for conn in [*self.taken, self.listening]:
+            conn.close()
+
+
+class Rig:
+    def __init__(self, boxes=1, settings=SETTINGS, sockets=256, backlog=64):
+        self.offset = 0.0
+        self.socks = []
+        self.reactor = Reactor()
+        self.origin, self.discovery = Node(self), Node(self)
+        self.boxes = [Node(self, backlog) for _ in range(boxes)]
+        members = [Member(f"s{n}", "{}:{}".format(*node.address)) for n, node in enumerate(self.boxes, 1)]
+        members.append(Member("origin", "{}:{}".format(*self.origin.address), flavor="origin"))
+        self.log = io.StringIO()
+        known = Listing(41, True, members)
+        told = (self.discovery.address, 1, Limits(sockets=sockets), known, read_settings(settings))
+        config = Config("p", ("127.0.0.1", 0), *told)
+        self.service = Service(self.reactor, config, Log(self.now, self.log), self.now, -1.0e9)
+        self.service.start(listen)
+        self.address = ("127.0.0.1", self.service._port.getHost().port)
+
+    def now(self):
+        return monotonic_ms() + self.offset
+
+    def skip(self, ms):
+        """The proxy's clock moves on, and what is due by then is done."""
+        end = self.offset + ms
+        while self.offset < end:  # a tick of the wheel at a time, as in life
+            self.offset = min(end, self.offset + 5.0)
+            self.turn(1)
+        self.turn()
+
+    def turn(self, times=3):
+        for _ in range(times):
+            self.reactor.runUntilCurrent()
+            if self.reactor._selectables:
+                self.reactor.doIteration(0.002)
+
+    def until(self, what, complaint="it did not happen"):
+        """Turns until `what` gives something, and hands that over."""
+        end = time.monotonic() + PATIENCE_S
+        while time.monotonic() < end:
+            if got := what():
+                return got
+            self.turn(1)
+        raise AssertionError(f"{complaint}\n{self.log.getvalue()}")
+
+    def client(self, data=b""):
+        conn = socket.create_connection(self.address)
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        conn.setblocking(False)
+        self.socks.append(conn)
+        if data:
+            conn.sendall(data)
+            self.turn()
+        return conn
+
+    def got(self, conn, wanted, times=1):
+        """Turns until so many of the wanted bytes have come, and hands over all that came."""
+        data = b""
+
+        def more():
+            nonlocal data
+            with contextlib.suppress(BlockingIOError):
+                data += conn.recv(1 << 20)
+            return data.count(wanted) >= times
+
+        self.until(more, f"{wanted!r} did not come")
+        return data
+
+    def ended(self, conn):
+        """What still came before the proxy's end of the connection; a reset counts as one, behind `RESET`."""
+        data = b""
+
+        def end():
+            nonlocal data
+            try:
+                piece = conn.recv(1 << 20)
+            except BlockingIOError:
+                return None
+            except ConnectionResetError:
+                return data + b"RESET"
+            data += piece
+            return None if piece else data + b"END"
+
+        return self.until(end, "it was not closed")
+
+    def close(self):
+        for conn in self.socks:
+            conn.close()
+        for node in [*self.boxes, self.origin, self.discovery]:
+            node.close()
+        self.reactor.disconnectAll()
+        self.reactor._poller.close()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -18,6 +18,7 @@
 
 import fnmatch
 import io
+import os
 
 import msgspec
 from twisted.internet.address import IPv4Address
@@ -33,6 +34,7 @@
 from olivestair.settings import read_settings
 
 HTTP = ("origin", "discovery", "discovery2")
+NOBODY = os.eventfd(0)  # a descriptor on which nothing ever happens
 EPOCH_MS = -1.0e9  # the fake clock shows 0 then
 
 
@@ -60,6 +62,9 @@
     def getHandle(self):
         return self
 
+    def fileno(self):
+        return NOBODY
+
     def send(self, data):
         self.write(data)
         return len(data)
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,246 @@
+"""Ends and beginnings on real sockets, at the instant in which something is still owed."""
+
+import socket
+
+import pytest
+from rig import Rig, read, reset, write
+
+from cloverwell.net.acquirer import AHEAD, Acquirer
+
+
+@pytest.fixture
+def rig():
+    made = []
+
+    def make(**more):
+        made.append(Rig(**more))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def served(rig, conn, node, number, value=b"x"):
+    """The client's read is answered by the node's connection."""
+    rig.got(node, f"mg k{number} ".encode())
+    node.sendall(f"VA {len(value)} O{number}\r\n".encode() + value + b"\r\n")
+    return rig.got(conn, value + b"\r\n")
+
+
+# Clients that leave -------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("leave", [socket.socket.close, reset])
+def test_a_close_is_seen_while_its_connection_is_held_and_nothing_that_waits_is_sent(rig, leave):
+    # Before: 64 commands in hand stop the reading, and with it the news that the client has left.
+    proxy = rig(backlog=0)
+    proxy.boxes[0].jam()
+    conn = proxy.client(b"".join(read(number) for number in range(3 * AHEAD)))
+    proxy.until(lambda: proxy.service.dispatcher.open_count == AHEAD)
+    assert proxy.service.side.not_read
+    leave(conn)
+    proxy.skip(100)
+    assert proxy.service.dispatcher.open_count == 0 and not proxy.service.side.connections
+
+
+@pytest.mark.parametrize("number", [1, 40, 3 * AHEAD])
+def test_clients_that_send_much_at_once_and_leave_have_nothing_sent_later(rig, number):
+    proxy = rig()
+    conn = proxy.client(b"".join(write(one) for one in range(number)))
+    conn.close()
+    proxy.skip(60)
+    sent = 0
+    while (node := proxy.origin._accept()) is not None:
+        sent += node in proxy.origin.taken
+    proxy.skip(300)
+    assert proxy.service.dispatcher.open_count <= sent and not proxy.service.side.connections
+    assert proxy.origin._accept() is None
+
+
+# The close of a resting connection ----------------------------------------------------------------
+
+
+def test_a_request_that_comes_between_the_decision_to_close_and_the_close_is_never_sent_on(rig, monkeypatch):
+    proxy = rig()
+    conn = proxy.client(read(1))
+    node = proxy.boxes[0].take()
+    proxy.got(node, b"mg k1 ")
+    node.sendall(b"VA 1 O1\r\nx\r\n")
+    proxy.until(lambda: not proxy.service.dispatcher.open_count)
+    looked = Acquirer._unread
+
+    def crossing(acquirer):
+        there = looked(acquirer)
+        conn.sendall(read(2))  # after the look, before the close
+        return there
+
+    monkeypatch.setattr(Acquirer, "_unread", crossing)
+    proxy.skip(10_050)
+    # The answer before is whole, its end an end and no reset, and the client sends the other one elsewhere.
+    assert proxy.ended(conn) == b"VA 1 O1\r\nx\r\nEND"
+    proxy.skip(300)
+    assert not proxy.service.dispatcher.open_count and b"k2" not in proxy.ended(node)
+
+
+def test_a_request_that_stands_unread_keeps_its_connection_open(rig, monkeypatch):
+    proxy = rig()
+    conn = proxy.client(read(1))
+    node = proxy.boxes[0].take()
+    served(proxy, conn, node, 1)
+    proxy.offset += 10_050.0
+    conn.sendall(read(2))  # it is in the machine's buffer when the sweep looks
+    served(proxy, conn, proxy.boxes[0].take(), 2)
+
+
+# Planned ends -------------------------------------------------------------------------------------
+
+
+def test_at_a_planned_end_all_that_was_taken_is_answered_while_a_third_of_the_boxes_hang(rig):
+    proxy = rig(boxes=3)
+    flights = [proxy.client(b"".join(read(10 * place + n, 900) for n in range(5))) for place in range(6)]
+    half = proxy.client(write(99, value=b"hello")[:-4])
+    resting = proxy.client(b"mn\r\n")
+    proxy.got(resting, b"MN")
+    proxy.service.stop()
+    late = proxy.client(read(70, 900))  # it connects after the signal
+
+    def play():
+        for place, node in enumerate([*proxy.boxes, proxy.origin]):
+            node._accept()
+            for conn in node.taken * (place != 0):  # the first box hangs
+                try:
+                    data = conn.recv(1 << 16)
+                except BlockingIOError:
+                    continue
+                for line in data.split(b"\r\n"):
+                    words = line.split()
+                    if words[:1] == [b"mg"]:
+                        conn.sendall(b"VA 1 " + words[3] + b"\r\nx\r\n")
+                    elif words[:1] == [b"GET"]:
+                        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+
+    told = b""
+    until_ms = proxy.now() + 1150.0  # past the cut, and before all that is left is closed
+    while proxy.now() < until_ms:
+        play()
+        proxy.skip(5)
+        if not told and proxy.now() > until_ms - 350.0:
+            # Half a command: what comes of it yet would be a request that was taken. It is told, not reset.
+            half.sendall(write(99, value=b"hello")[-4:])
+            told = proxy.ended(half)
+    assert told == b"SERVER_ERROR busy\r\nEND"
+    for conn in flights:
+        answers = proxy.ended(conn)
+        assert answers.count(b"VA 1 ") + answers.count(b"SERVER_ERROR") == 5 and answers.endswith(b"END")
+    assert proxy.ended(resting) == b"END"
+    assert proxy.ended(late).count(b"\r\n") in (1, 2)
+    proxy.skip(1500)
+    assert proxy.reactor.stopped and not proxy.service.dispatcher.open_count
+
+
+def test_what_comes_on_an_old_connection_up_to_the_end_is_answered(rig):
+    proxy = rig()
+    conn = proxy.client(read(1))
+    node = proxy.boxes[0].take()
+    served(proxy, conn, node, 1)
+    proxy.service.stop()
+    for number in range(2, 8):
+        conn.sendall(read(number))
+        served(proxy, conn, node, number)
+    conn.sendall(read(8))
+    proxy.offset += 900.0  # resting connections are let go from now on, and this one has an unread request
+    proxy.got(node, b"mg k8 ")
+    node.sendall(b"VA 1 O8\r\nx\r\n")
+    assert proxy.ended(conn) == b"VA 1 O8\r\nx\r\nEND"
+
+
+def test_all_that_wait_to_be_accepted_are_let_in_before_the_port_closes(rig):
+    proxy = rig()
+    waiting = [socket.create_connection(proxy.address) for _ in range(100)]
+    proxy.socks += waiting
+    for conn in waiting:
+        conn.setblocking(False)
+        conn.sendall(b"mn\r\n")
+    proxy.service._port.stopListening()
+    for conn in waiting:
+        assert proxy.got(conn, b"\r\n") == b"MN\r\n"
+
+
+# What boxes do to their connections ---------------------------------------------------------------
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, reset])
+def test_an_idle_connection_that_ends_as_it_is_taken_up_costs_no_order(rig, end):
+    proxy = rig()
+    conn = proxy.client(write(1))
+    node = proxy.origin.take()
+    proxy.got(node, b"PUT /k1 ")
+    node.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr1")
+    proxy.got(conn, b"cr1")
+    conn.sendall(write(2))
+    end(node)  # both are there when the loop turns
+    second = proxy.origin.take()
+    proxy.skip(60)
+    proxy.got(second, b"PUT /k2 ")
+    second.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr2")
+    proxy.got(conn, b"cr2")
+
+
+@pytest.mark.parametrize(
+    "noise", [b"VA 1 O1\r\nx\r\n", b"VA 1", b"SERVER_ERROR busy\r\n", b"SERVER_ERROR failed\r\n"]
+)
+def test_a_second_or_half_answer_a_little_late_never_reaches_the_next_request(rig, noise):
+    proxy = rig()
+    conn = proxy.client(read(1))
+    node = proxy.boxes[0].take()
+    served(proxy, conn, node, 1)
+    node.sendall(noise)  # it is there, and not read yet, when the next request is
+    next(iter(proxy.service.side.connections)).dataReceived(read(2))
+    second = proxy.boxes[0].take()
+    served(proxy, conn, second, 2, b"two")
+    assert proxy.ended(node).endswith((b"END", b"RESET"))
+
+
+@pytest.mark.parametrize("body", [b"", b"half of th"])
+@pytest.mark.parametrize("head", [b"Connection: close\r\n", b"Connection: close\r\nContent-Type: x\r\n"])
+def test_an_answer_without_a_length_that_is_reset_is_never_served(rig, head, body):
+    proxy = rig()
+    conn = proxy.client(write(1, 900))
+    node = proxy.origin.take()
+    proxy.got(node, b"PUT /k1 ")
+    node.sendall(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + body)
+    proxy.turn()
+    reset(node)
+    assert proxy.got(conn, b"\r\n") == b"SERVER_ERROR failed\r\n"
+
+
+@pytest.mark.parametrize("cut", [8, 12])
+def test_a_box_that_resets_in_the_middle_of_its_answer_has_it_asked_elsewhere(rig, cut):
+    proxy = rig(boxes=2)
+    conn = proxy.client(read(1))
+    taken = proxy.until(lambda: [c for c in (box._accept() for box in proxy.boxes) if c])[0]
+    proxy.got(taken, b"mg k1 ")
+    taken.sendall(b"VA 5 O1\r\nhello\r\n"[:cut])
+    proxy.turn()
+    reset(taken)
+    again = proxy.until(lambda: [c for c in (box._accept() for box in proxy.boxes) if c])[0]
+    proxy.got(again, b"mg k1 ")
+    again.sendall(b"VA 5 O1\r\nworld\r\n")
+    assert proxy.got(conn, b"\r\n", 2) == b"VA 5 O1\r\nworld\r\n"
+
+
+# Connections that do not come up ------------------------------------------------------------------
+
+
+def test_a_connection_that_never_comes_up_ends_its_attempt_in_time_and_gives_its_place_back(rig):
+    proxy = rig(backlog=0)
+    proxy.boxes[0].jam()
+    held = dict(proxy.service.budget.held)
+    conn = proxy.client(read(1, 900))
+    proxy.until(lambda: proxy.service.pools.of("s1").opening)
+    proxy.until(lambda: not proxy.service.dispatcher.open_count, "the attempt went on")
+    assert proxy.got(conn, b"\r\n").startswith(b"SERVER_ERROR busy")
+    conn.close()
+    proxy.until(lambda: proxy.service.budget.held == held, "its descriptor was kept")
+    assert not proxy.service.pools.of("s1").opening and not proxy.service.pools.of("s1")._waiting
