--- a/tests/rig.py
+++ b/tests/rig.py
@@ -27,11 +27,18 @@
 
 
 class Reactor(EPollReactor):
-    stopped = False
+    """Stopped, it closes what is left open, as the end of the program does."""
+
+    stopped = closed = False
 
     def stop(self):
         self.stopped = True
 
+    def finish(self):
+        if not self.closed:
+            self.closed = True
+            self.disconnectAll()
+
     def installWaker(self):
         """No other thread calls."""
 
@@ -122,10 +129,17 @@
             self.turn(1)
         self.turn()
 
+    def lag(self, ms):
+        """The loop is held up for so long: then its timers come first, before anything that has come is read."""
+        self.offset += ms
+        time.sleep(0.01)  # the reactor's own clock has to reach the wheel's next tick
+
     def turn(self, times=3):
         for _ in range(times):
             self.reactor.runUntilCurrent()
-            if self.reactor._selectables:
+            if self.reactor.stopped:
+                self.reactor.finish()
+            elif self.reactor._selectables:
                 self.reactor.doIteration(0.002)
 
     def until(self, what, complaint="it did not happen"):
@@ -182,5 +196,5 @@
             conn.close()
         for node in [*self.boxes, self.origin, self.discovery]:
             node.close()
-        self.reactor.disconnectAll()
+        self.reactor.finish()
         self.reactor._poller.close()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -88,8 +88,8 @@
     conn = proxy.client(read(1))
     node = proxy.boxes[0].take()
     served(proxy, conn, node, 1)
-    proxy.offset += 10_050.0
     conn.sendall(read(2))  # it is in the machine's buffer when the sweep looks
+    proxy.lag(10_050.0)
     served(proxy, conn, proxy.boxes[0].take(), 2)
 
 
@@ -149,7 +149,7 @@
         conn.sendall(read(number))
         served(proxy, conn, node, number)
     conn.sendall(read(8))
-    proxy.offset += 900.0  # resting connections are let go from now on, and this one has an unread request
+    proxy.lag(900.0)  # resting connections are let go from now on, and this one has an unread request
     proxy.got(node, b"mg k8 ")
     node.sendall(b"VA 1 O8\r\nx\r\n")
     assert proxy.ended(conn) == b"VA 1 O8\r\nx\r\nEND"
