Rest a connection behind an answer without an id: a late second one was the next write's

No origin works in 0.5 ms: a spoilt second answer to the request before, on the same connection, came behind the send.

Ruled out: two takes of one id (one), the look for unread bytes before a send (nothing had come by then), pipelining (the leg was alone), the client's side (one give).

Lines at fault: Pool.freed and _place gave a connection to the next leg at once, whatever its last answer could be told by; OriginConnection.answered took any body for a receipt; Pool._may_share wrote reads behind others at the origin.

Now a connection whose last answer bore no id (each of the origin's; a box's SERVER_ERROR, whose copy would count a read that ran as one that never did) is written to 15 ms later at the soonest. A leg waits for one that rests before it opens another. Where several are idle, one that has rested goes first, so that noise late behind a VA costs no read either. A receipt is one word of up to 250 characters. Nothing is written behind others at the origin.

--- a/cloverwell/net/box_connection.py
+++ b/cloverwell/net/box_connection.py
@@ -21,6 +21,7 @@
 
 FLOW_READ = 32 * 1024  # bytes read at once of a long value: so much waits here when its reader is slow
 FRESH_MS = 10.0  # one that came up so lately has not stood idle
+REST_MS = 15.0  # behind an answer, a second one or noise may come some milliseconds late
 
 
 class BoxConnection(RingLineReceiver):
@@ -33,6 +34,7 @@
         self.asked_ms = asked_ms  # when it was asked for
         self.idle_since_ms = 0.0
         self.served = False  # a leg has ended on it
+        self.rests_until_ms = 0.0  # no leg is written to it before
         self._age_ms: float | None = None  # how long it had stood idle before its oldest leg
         self._first_ms = 0.0  # when that leg's first byte was written
         # A leg of which all but the last byte is written: it has not run, and can't yet.
@@ -59,6 +61,10 @@
         age = now - self.idle_since_ms
         return age if self.served or age > FRESH_MS else None
 
+    def quiet(self, now: float) -> bool:
+        """What may come late behind its last answer has come by now, and is seen before the next leg."""
+        return not self.served or now - self.idle_since_ms >= REST_MS
+
     def send(self, attempt: Attempt, use: Use = Use.WHOLE) -> bool:
         """False if not a byte has been handed over."""
         data = self.command(attempt)
@@ -105,10 +111,10 @@
             pass
         return True
 
-    def finish_leg(self, outcome: Outcome, body: bytes = b"") -> None:
-        """The oldest leg has its answer."""
+    def finish_leg(self, outcome: Outcome, body: bytes = b"", named: bool = True) -> None:
+        """The oldest leg has its answer; `named`: its id stood in it."""
         attempt = self._next_leg()
-        self._go_on()
+        self._go_on(named)
         attempt.end(outcome, body)
 
     def _next_leg(self) -> Attempt:
@@ -117,8 +123,8 @@
         self._age_ms, self.served = None, True
         return attempt
 
-    def _go_on(self) -> None:
-        """An answer has ended."""
+    def _go_on(self, named: bool = True) -> None:
+        """An answer has ended. A late copy of one that bears no id would be taken for the next leg's."""
         if self._last:
             self.drop(Outcome.RESET)
         elif not self.legs and self.unparsed:
@@ -128,6 +134,7 @@
         else:
             if not self.legs:
                 self.idle_since_ms = self._pool.now()
+                self.rests_until_ms = 0.0 if named else self.idle_since_ms + REST_MS
             self._pool.freed(self)
 
     # A long value ---------------------------------------------------------------------------------
@@ -148,13 +155,13 @@
         self.flow_ms = self._pool.now()
         self.flow.piece(data)
 
-    def end_flow(self) -> None:
+    def end_flow(self, named: bool = True) -> None:
         """All of it has come, and its end is sound."""
         flow, self.flow = self.flow, None
         del self.transport.bufferSize  # the class has its own
         flow.whole()
         if not self.ended:
-            self._go_on()
+            self._go_on(named)
 
     def _break_flow(self) -> None:
         flow, self.flow = self.flow, None
--- a/cloverwell/net/cache_leg.py
+++ b/cloverwell/net/cache_leg.py
@@ -38,9 +38,9 @@
                 self._check(words[1:])
                 self.finish_leg(Outcome.MISS)
             case [b"SERVER_ERROR"] if words[1:2] == [b"busy"]:
-                self.finish_leg(Outcome.BUSY)
+                self.finish_leg(Outcome.BUSY, named=False)
             case [b"SERVER_ERROR"] if words[1:2] == [b"failed"]:
-                self.finish_leg(Outcome.ERROR)
+                self.finish_leg(Outcome.ERROR, named=False)
             case _:
                 raise FramingError(f"unknown line {line[:60]!r}")
 
--- a/cloverwell/net/origin_leg.py
+++ b/cloverwell/net/origin_leg.py
@@ -1,5 +1,6 @@
 """Legs to the origin, in HTTP/1.1."""
 
+import re
 from urllib.parse import quote
 
 from cloverwell.authorisation import Attempt
@@ -10,6 +11,8 @@
 from cloverwell.net.lines import FramingError
 from cloverwell.net.pool import Pool
 
+RECEIPT = re.compile(rb"[!-~]{1,250}")  # a word of the meta commands
+
 
 class OriginConnection(HttpReceiver, BoxConnection):
     def __init__(self, pool: Pool, asked_ms: float) -> None:
@@ -46,7 +49,7 @@
         super().pieceReceived(data)
         if self.flow is not None and not self.flow.left:
             self._reset()
-            self.end_flow()
+            self.end_flow(named=False)
 
     def answered(self, status: int, headers: dict[str, str], body: bytes) -> None:
         self._check(headers)
@@ -55,13 +58,15 @@
             self.ended = True  # no further leg is written to it
         if status == 200:
             outcome = Outcome.SERVED
+            if self.legs[0].authorisation.write and not RECEIPT.fullmatch(body):
+                raise FramingError("not a receipt")  # in the client's line it would be noise, or a second one
         elif status in (503, 504) and headers.get("not-started") == "1":
             outcome = Outcome.BUSY
         elif 500 <= status < 600:
             outcome = Outcome.ERROR
         else:
             raise FramingError(f"unknown status {status}")
-        self.finish_leg(outcome, body if outcome is Outcome.SERVED else b"")
+        self.finish_leg(outcome, body if outcome is Outcome.SERVED else b"", named=False)
         if closing:
             self.ended = False
             self.drop(Outcome.RESET)
--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -103,12 +103,13 @@
             self._place(attempt)
 
     def _place(self, attempt: Attempt) -> None:
-        while self.idle:
-            if self._hand_to(self._pop_idle(), attempt):
+        while (connection := self._pop_idle()) is not None:
+            if self._hand_to(connection, attempt):
                 return
-        if self._pools.may_open(self):
+        expected = self.opening + self._resting > len(self._waiting)
+        if expected or self._pools.may_open(self):
             self._wait(attempt)
-            if self.opening < len(self._waiting):
+            if not expected:
                 self._open()
             return
         shared = [c for c in self.connections if self._may_share(c, attempt)]
@@ -129,10 +130,11 @@
         return True
 
     def _may_share(self, connection: BoxConnection, attempt: Attempt) -> bool:
-        # Giving up one leg resets all behind it, and an order that is reset may never be sent again.
+        # Giving up one leg resets all behind it, and an order that is reset may never be sent again. The
+        # origin's answers bear no id: one too many would be the next leg's.
         legs = [attempt, *connection.legs]
         return (
-            not (connection.ended or connection.moved)
+            not (connection.ended or connection.moved or self.origin)
             and bool(connection.legs)
             and len(legs) <= self._pools.legs_each
             and connection.flow is None
@@ -227,7 +229,8 @@
 
     def freed(self, connection: BoxConnection) -> None:
         """A connection has no leg, or one less: the leg that has waited longest takes it."""
-        while connection.free and self._waiting and not connection.moved:
+        rests_ms = connection.rests_until_ms - self.now()
+        while connection.free and self._waiting and not connection.moved and rests_ms <= 0.0:
             attempt = self._waiting.popleft()
             if self._too_late(attempt):
                 attempt.end(Outcome.NOT_CONNECTED)
@@ -241,12 +244,33 @@
         else:
             self.idle.append(connection)
             self._pools.idle[connection] = self
+            if rests_ms > 0.0:
+                self.later(connection.rests_until_ms, lambda: self._rested(connection))
         return None
 
-    def _pop_idle(self) -> BoxConnection:
-        connection = self.idle.pop()
+    def _rested(self, connection: BoxConnection) -> None:
+        if connection in self.idle and self._waiting:
+            self._take_up(connection)
+            self.freed(connection)
+
+    @property
+    def _resting(self) -> int:
+        """Connections that the legs waiting may soon have."""
+        now = self.now()
+        return sum(connection.rests_until_ms > now for connection in self.idle)
+
+    def _pop_idle(self) -> BoxConnection | None:
+        """The one used last: of those behind whose last answer nothing comes any more, if there are any."""
+        now = self.now()
+        ready = [connection for connection in self.idle if connection.rests_until_ms <= now]
+        found = next((one for one in reversed(ready) if one.quiet(now)), ready[-1] if ready else None)
+        if found is not None:
+            self._take_up(found)
+        return found
+
+    def _take_up(self, connection: BoxConnection) -> None:
+        self.idle.remove(connection)
         del self._pools.idle[connection]
-        return connection
 
     def retire(self, connection: BoxConnection) -> None:
         self._figures.add(What.RETIRED, self.box)
@@ -299,7 +323,7 @@
         self._open_for_waiting()
 
     def _open_for_waiting(self) -> None:
-        while len(self._waiting) > self.opening and self._pools.may_open(self):
+        while len(self._waiting) > self.opening + self._resting and self._pools.may_open(self):
             self._open()
 
     def open_ahead(self, now: float) -> None:
