--- a/cloverwell/config.py
+++ b/cloverwell/config.py
@@ -1,14 +1,15 @@
 """What a proxy is told: the configuration file, and the variables that stand before it at the start."""
 
+import math
 import os
 from collections.abc import Mapping
 from typing import Any
 
 import msgspec
 
-from cloverwell.net.routing_table import Listing, TableError, split_address
+from cloverwell.net.routing_table import PHASES, Listing, TableError, split_address
 from olivestair.api import Settings
-from olivestair.settings import read_settings
+from olivestair.settings import check_whole, read_settings
 
 FD_MIN = 64
 
@@ -55,13 +56,17 @@
             raw = msgspec.json.decode(file.read(), type=File)
     except OSError as error:
         raise ConfigError(f"EDGE_CONFIG: {error.strerror}: {path}") from None
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise ConfigError(f"EDGE_CONFIG: {error}") from None
     if raw.settings is None:
         raise ConfigError("settings: is missing")
     if raw.limits.sockets < FD_MIN:
         raise ConfigError(f"limits.sockets: must be at least {FD_MIN}")
+    for name in ("cores", "memory_mb"):
+        if not 0.0 < getattr(raw.limits, name) < math.inf:
+            raise ConfigError(f"limits.{name}: must be over 0")
     try:
+        check_whole(raw.settings)
         settings = read_settings(raw.settings)
     except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
@@ -102,4 +107,6 @@
 def _known(listing: Listing) -> Listing:
     for member in listing.members:
         _address("known.members.host_port", member.host_port)
+        if member.phase not in PHASES:
+            raise ConfigError(f"known.members.phase: unknown phase {member.phase[:60]!r}")
     return listing
--- a/lab/proxy.py
+++ b/lab/proxy.py
@@ -22,7 +22,8 @@
     "machine-types": ["large", "origin"],
     "membership-mode": "on_request",
     "granularity": 5.0,
-    "guarantees": {"ask-within": 10000.0, "cold": 1000.0, "start-capacity": 0.5},
+    "peers-total": 1,
+    "guarantees": {"ask-within": 10000.0, "cold": 1000.0, "start-capacity": 0.5, "drain-grace": 1000.0},
     "limits": {
         "cancel": True,
         "send-cap": 3,
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -130,7 +130,7 @@
         self.turn()
 
     def lag(self, ms):
-        """The loop is held up for so long: then its timers come first, before anything that has come is read."""
+        """The loop is held up for so long: then its timers come first, before what has come is read."""
         self.offset += ms
         time.sleep(0.01)  # the reactor's own clock has to reach the wheel's next tick
 
