Tell who is turned away for want of descriptors the site's own time, or none

Now AcquirerSide.busy_ms is the lesser of 1000 and the site's most, 0 where clients are told none. Two test cases, both seen to fail without the change.

--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -25,7 +25,6 @@
 ERROR_PAUSE_MS = 50.0  # what each of the others costs: the connection is not read for so long
 PASS_PAUSE_MS = 5.0  # nor behind each piece of what is thrown away once framing is lost
 FLOW_PIECE = 32 * 1024  # of what goes out: the transport holds so much while its client does not read
-BUSY_MS = 1000  # how long a client should keep away from a proxy that is short of descriptors
 FAILED = b"SERVER_ERROR failed\r\n"
 BUSY = b"SERVER_ERROR busy\r\n"
 NOT_WANTED = b"SERVER_ERROR draining\r\n"
@@ -226,7 +225,7 @@
         if len(self._turns) >= AHEAD:
             self.hold()
         if self._side.crowded():
-            turn.authorisation.finish(Declined(BUSY_MS))
+            turn.authorisation.finish(Declined(self._side.busy_ms))
         else:
             self._side.dispatcher.take(turn.authorisation)
 
--- a/cloverwell/net/acquirer_side.py
+++ b/cloverwell/net/acquirer_side.py
@@ -18,6 +18,7 @@
 from olivestair.api import Settings
 
 SWEEP_MS = 50.0
+BUSY_MS = 1000.0  # how long a client should keep away from a proxy that is short of descriptors
 
 
 class AcquirerSide(Factory):
@@ -47,6 +48,7 @@
         self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
         self.connections: set[Acquirer] = set()
         self.not_read: set[Acquirer] = set()  # those of them that are held: their close would not be seen
+        self.busy_ms = min(BUSY_MS, settings.max_retry_after_ms)  # 0: the site's clients are told no time
         self.front = Front(budget.most(Side.FRONT), asking, wheel.now())
         self._log = log
         self._budget = budget
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -11,6 +11,7 @@
 from cloverwell.connections.budget import Budget, Side
 from cloverwell.connections.front import RESERVE
 from cloverwell.net.ring_buffer import SMALLEST
+from lab.proxy import SETTINGS
 
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 
@@ -82,6 +83,17 @@
     assert "overdue" not in player.log.getvalue()
 
 
+@pytest.mark.parametrize(
+    "limits, answer",
+    [({"max-retry-after": 300.0}, "busy 300"), ({"retry-after": False}, "busy")],
+)
+def test_who_is_turned_away_for_want_of_descriptors_is_told_the_sites_own_time(limits, answer):
+    # It was 1000 ms also where clients are told none.
+    player = Player(settings=SETTINGS | {"limits": SETTINGS["limits"] | limits})
+    player.service.side.crowded = lambda: True
+    player.play(f"client send mg k v O1 Pc=page,t=acme,d=900\nclient expect SERVER_ERROR {answer}")
+
+
 def test_at_the_cap_reads_share_a_connection_and_an_order_never_does():
     # Giving up a leg closes its connection: an order behind a read would be reset, and could not go again.
     player = Player()
