Keep a leg that waits for a connection at rest when another connection fails to open

Found by reading again: Pool.failed ends the leg that has waited longest where more wait than connections are being opened. A leg may now wait for one at rest, which it did not count, so it ended as not connected 15 ms before its connection was free, and the box was marked missed for it. test_waiting.py: one case, seen to fail without the change (it counts the legs that end so, since the module sends the request again and it is served all the same).

--- a/cloverwell/net/pool.py
+++ b/cloverwell/net/pool.py
@@ -210,7 +210,7 @@
         self._pools.budget.give_back(Side.BACK)
         self._figures.add(What.REFUSED, self.box)
         self._back.refused(self.box, len(self.connections), self.now())
-        if self._waiting and len(self._waiting) > self.opening:
+        if len(self._waiting) > self.opening + self._resting:
             self._waiting.popleft().end(Outcome.NOT_CONNECTED)
 
     def mistaken(self) -> None:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -176,6 +176,15 @@
     player.play("wait 20\norigin expect PUT /k3 *")
 
 
+def test_a_leg_that_waits_for_a_connection_at_rest_does_not_end_with_one_that_fails():
+    player = Player()
+    player.play("client send ms k1 1 O1 Pc=order,t=acme,d=900|a\norigin expect PUT /k1 *")
+    player.play("client#2 send ms k2 1 O2 Pc=order,t=acme,d=900|a")  # asks for one more
+    player.play("origin send 200 r1\nclient expect HD O1 cr1\norigin#2 close\nwait 20")
+    player.play("origin expect PUT /k2 *\norigin send 200 r2\nclient#2 expect HD O2 cr2")
+    assert "origin.connect_failed" not in player.service.counts.line()
+
+
 @pytest.mark.parametrize("line", ["SERVER_ERROR busy", "SERVER_ERROR failed"])
 def test_nor_is_a_boxs_refusal_which_bears_no_id_either(line):
     # Taken for the next one's, a late copy would count a read that ran as one that never did.
