Send nothing on for a client whose close was already there when a held-up loop reads its request

Request and close stand there together; the request was read first and sent on, in the test 350 ms after its client had left, before the next read showed the end. Acquirer.dataReceived knew nothing of what stands behind the data.

Now what is read when the wheel is more than 100 ms behind (its last tick came late, or this turn has taken so long) is thrown away if the client has closed by then (POLLRDHUP, which sees the end behind unread bytes). Below that all is as it was, so who ends only its own sending (`printf 'mn\r\n' | nc -N`) still has its answer.

test_sockets.py: two cases, an end and a reset, seen to fail without the change.

--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -21,6 +21,7 @@
 AHEAD = 64  # commands of one connection in hand at once: a client that pipelines more is not read for a while
 MAX_KEY, MAX_ID, MAX_WAIT_MS = 250, 64, 3_600_000
 MAX_PASSED = 1024 * 1024  # a longer value is not passed over: its client is told, and the connection closed
+HELD_UP_MS = 100.0  # the loop has not read for so long: some clients may have left meanwhile
 FREE_ERRORS, MAX_ERRORS = 8, 24  # malformed commands in a row that cost no pause, and that close a connection
 ERROR_PAUSE_MS = 50.0  # what each of the others costs: the connection is not read for so long
 PASS_PAUSE_MS = 5.0  # nor behind each piece of what is thrown away once framing is lost
@@ -68,6 +69,10 @@
             # Read on, so that the client reads its answer rather than a reset; but at no cost to the others.
             self._pause(PASS_PAUSE_MS)
             return
+        if self._side.wheel.behind_ms > HELD_UP_MS and hung_up(self._socket):
+            # The close stands behind what is read now. It was sent long ago, and is nobody's any more.
+            self.end(abort=True)
+            return
         super().dataReceived(data)
         begun, self._begun = self._begun, self.halfway
         if self._begun and not begun:
--- a/cloverwell/wheel.py
+++ b/cloverwell/wheel.py
@@ -46,6 +46,12 @@
         self._tick = math.floor(now() / self.granularity_ms)
         self._faults = Logger(namespace="wheel")
 
+    @property
+    def behind_ms(self) -> float:
+        """How long what is read now may have lain in its socket's buffer: the last tick came late, or this
+        turn of the loop is a long one."""
+        return max(self.lag_ms, self.now() - (self._tick + 1) * self.granularity_ms)
+
     def start(self) -> None:
         self._arm()
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -58,6 +58,20 @@
     assert proxy.origin._accept() is None
 
 
+@pytest.mark.parametrize("leave", [socket.socket.close, reset])
+def test_what_was_read_long_after_its_client_left_is_not_sent_on(rig, leave):
+    # The loop was held up, and the close stands behind the request: read first, that went out for nobody.
+    proxy = rig()
+    conn = proxy.client(b"mn\r\n")
+    proxy.got(conn, b"MN")
+    conn.sendall(write(1) + read(2))
+    leave(conn)
+    proxy.lag(350.0)
+    proxy.turn()
+    assert not proxy.service.dispatcher.open_count and not proxy.service.side.connections
+    assert proxy.origin._accept() is None and proxy.boxes[0]._accept() is None
+
+
 # The close of a resting connection ----------------------------------------------------------------
 
 
