--- a/tests/rig.py
+++ b/tests/rig.py
@@ -69,6 +69,7 @@
         self.listening.setblocking(False)
         self.address = self.listening.getsockname()
         self.taken = []
+        self.jammed = set()  # who fills the queue
 
     def take(self):
         """The next connection of the proxy."""
@@ -77,9 +78,12 @@
 
     def _accept(self):
         try:
-            conn, _ = self.listening.accept()
+            conn, peer = self.listening.accept()
         except BlockingIOError:
             return None
+        if peer in self.jammed:
+            conn.close()
+            return self._accept()
         conn.setblocking(False)
         self.taken.append(conn)
         return conn
@@ -93,6 +97,7 @@
             with contextlib.suppress(BlockingIOError):
                 conn.connect(self.address)
             held.append(conn)
+            self.jammed.add(conn.getsockname())
         self.rig.socks += held
         return held
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -6,6 +6,7 @@
 from rig import Rig, read, reset, write
 
 from cloverwell.net.acquirer import AHEAD, Acquirer
+from lab.proxy import SETTINGS
 
 
 @pytest.fixture
@@ -245,6 +246,51 @@
     assert proxy.got(conn, b"\r\n", 2) == b"VA 5 O1\r\nworld\r\n"
 
 
+def put(conn, receipt):
+    conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + receipt)
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, reset])
+@pytest.mark.parametrize("after_ms", [0, 600])
+@pytest.mark.parametrize("cls, again", [("order", False), ("adjust", True)])
+def test_a_connection_that_ends_under_a_whole_request_may_have_run_it(rig, end, after_ms, cls, again):
+    proxy = rig()
+    conn = proxy.client(write(1, cls=cls))
+    node = proxy.origin.take()
+    proxy.got(node, b"PUT /k1 ")
+    proxy.skip(after_ms)  # behind the last byte, and long after
+    end(node)
+    if again:
+        second = proxy.origin.take()
+        proxy.got(second, b"PUT /k1 ")
+        put(second, b"r1")
+        assert proxy.got(conn, b"\r\n") == b"HD O1 cr1\r\n"
+    else:
+        assert proxy.got(conn, b"\r\n") == b"SERVER_ERROR failed\r\n"
+        proxy.skip(300)
+        assert proxy.origin._accept() is None
+
+
+def test_a_connection_that_is_reset_in_the_middle_of_a_request_has_not_run_it(rig):
+    proxy = rig()
+    proxy.origin.listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    conn = proxy.client(write(1))
+    node = proxy.origin.take()
+    proxy.got(node, b"PUT /k1 ")
+    put(node, b"r1")
+    proxy.got(conn, b"cr1")
+    proxy.skip(20)
+    (ours,) = proxy.service.pools.of("origin").connections
+    ours.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    conn.sendall(write(2, value=b"v" * 60_000))
+    proxy.until(lambda: ours._writing, "the machine took it all")
+    reset(node)
+    second = proxy.origin.take()  # an order: it goes again only if it can't have run
+    assert proxy.got(second, b"v" * 60_000).startswith(b"PUT /k2 ")
+    put(second, b"r2")
+    proxy.got(conn, b"cr2")
+
+
 # Connections that do not come up ------------------------------------------------------------------
 
 
@@ -259,3 +305,20 @@
     conn.close()
     proxy.until(lambda: proxy.service.budget.held == held, "its descriptor was kept")
     assert not proxy.service.pools.of("s1").opening and not proxy.service.pools.of("s1")._waiting
+
+
+def test_a_connection_that_comes_up_late_is_the_next_requests_and_not_the_dead_ones(rig):
+    limits = SETTINGS["limits"] | {"connect-timeout": 9000.0}  # the box's machine asks again after a second
+    proxy = rig(backlog=0, settings=SETTINGS | {"limits": limits})
+    held = proxy.boxes[0].jam()
+    conn = proxy.client(read(1, 400))
+    proxy.until(lambda: proxy.service.pools.of("s1").opening)
+    assert proxy.got(conn, b"\r\n").startswith(b"SERVER_ERROR busy")
+    assert not proxy.service.pools.of("s1")._waiting
+    for one in held:
+        one.close()
+    late = proxy.boxes[0].take()
+    conn.sendall(read(2, 4000))
+    assert proxy.got(late, b"mg k2 ").startswith(b"mg k2 ")
+    late.sendall(b"VA 1 O2\r\nx\r\n")
+    assert proxy.got(conn, b"x\r\n") == b"VA 1 O2\r\nx\r\n"
