Play the lab's worlds in one order in every process: a test's verdict hung on the hash seed

With PYTHONHASHSEED 1 to 4: two of four fail. On the same play differs as well (2876 or 2892 requests).

Cause: what stands in sets is walked in the order of hashes or addresses. A box's connections in lab/nodes.py (Node.links, reset one by one when its zone is lost), the boxes that a list lets go (RoutingTable._take), and clients' connections (AcquirerSide.connections, not_read, let go one by one). Now each is walked in one order: dicts for the three sets, and sorted names. Eight hash seeds give one and the same play.

No decision changes; the order in which idle connections to leaving boxes are closed does.

--- a/cloverwell/net/acquirer.py
+++ b/cloverwell/net/acquirer.py
@@ -82,10 +82,10 @@
 
     def hold(self) -> None:
         super().hold()
-        self._side.not_read.add(self)
+        self._side.not_read[self] = None
 
     def release(self) -> None:
-        self._side.not_read.discard(self)
+        self._side.not_read.pop(self, None)
         super().release()
 
     def has_left(self) -> bool:
--- a/cloverwell/net/acquirer_side.py
+++ b/cloverwell/net/acquirer_side.py
@@ -46,8 +46,8 @@
         self.wheel = wheel
         self.classes = {cls.name: place for place, cls in enumerate(settings.classes)}
         self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
-        self.connections: set[Acquirer] = set()
-        self.not_read: set[Acquirer] = set()  # those of them that are held: their close would not be seen
+        self.connections: dict[Acquirer, None] = {}  # in the order they came
+        self.not_read: dict[Acquirer, None] = {}  # those of them that are held: their close would not be seen
         self.busy_ms = min(BUSY_MS, settings.max_retry_after_ms)  # 0: the site's clients are told no time
         self.front = Front(budget.most(Side.FRONT), asking, wheel.now())
         self._log = log
@@ -69,7 +69,7 @@
             return None
         connection = Acquirer(self)
         self._budget.take(Side.FRONT)
-        self.connections.add(connection)
+        self.connections[connection] = None
         self._figures.add(What.ADMITTED)
         self.front.opened(connection, self.wheel.now(), getattr(addr, "host", ""))
         self._keep_room()
@@ -82,8 +82,8 @@
 
     def closed(self, connection: Acquirer) -> None:
         if connection in self.connections:
-            self.connections.discard(connection)
-            self.not_read.discard(connection)
+            self.connections.pop(connection)
+            self.not_read.pop(connection, None)
             self._budget.give_back(Side.FRONT)
             self.front.closed(connection)
             self._go_on()
--- a/cloverwell/net/routing_table.py
+++ b/cloverwell/net/routing_table.py
@@ -129,7 +129,7 @@
         leaving = {entry.server for entry in entries} - listed
         if listing.complete:
             leaving |= self._pools.names() - listed
-        for box in leaving:
+        for box in sorted(leaving):  # in one order in every process
             self._pools.leave(box)
 
     def _keep(self, listing: Listing) -> None:
--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -39,7 +39,7 @@
 
     def __init__(self, play: Play, name: str, address: Address, server: Server) -> None:
         self.play, self.name, self.address, self.server = play, name, address, server
-        self.links: set[Any] = set()
+        self.links: dict[Any, None] = {}  # in the order they came: a set's differs from run to run
         self.hung = False  # takes requests, answers none
         self.down = False
         self._ends: dict[str, Any] = {}  # job -> what to call at its end
@@ -138,7 +138,7 @@
         self._giving = False  # a long value, piece by piece
 
     def connectionMade(self) -> None:
-        self.box.links.add(self)
+        self.box.links[self] = None
         self._look()
 
     def _look(self) -> None:
@@ -218,7 +218,7 @@
         self._answer()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.box.links.discard(self)
+        self.box.links.pop(self, None)
         for job, answer, name in self._order:
             self.box.play.judge.settled(name)
             if answer is None:
@@ -238,7 +238,7 @@
         self.name: str | None = None  # of the request that it holds, for the judge
 
     def connectionMade(self) -> None:
-        self.node.links.add(self)
+        self.node.links[self] = None
 
     def dataReceived(self, data: bytes) -> None:
         try:
@@ -290,7 +290,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.open = False
         self._settle()
-        self.node.links.discard(self)
+        self.node.links.pop(self, None)
 
 
 class Origin(Node):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -291,8 +291,8 @@
 
 
 def test_a_zone_that_comes_back_cold_is_not_pushed_over(monkeypatch):
-    # Stricter than any site: 1.2 times what a cold box can do, from all proxies together.
-    strict = {"seconds": 15.0, "rules": Rules(0.5, 1.5, 1.2)}
+    # Stricter than any site: 1.1 times what a cold box can do, from all proxies together.
+    strict = {"seconds": 15.0, "rules": Rules(0.5, 1.5, 1.1)}
     summary = zones(1, **strict)
     assert not broken(summary), summary["breaches"]
     asks_cold_boxes_as_if_warm(monkeypatch)
