Give test processes ports that no connection can take first: one run in 20 failed on it

Seen: of 20 runs of the new tests in a row one failed, of 20 more in four lanes two: test_a_fleet_killed_with_requests_in_ hand_comes_back_at_once_and_serves, "listen: Couldn't listen on 127.0.0.1:41479: Address already in use". No fault of the proxy's: lab/processes.free_port gave a port of those that the machine hands to outgoing connections, and between its close and the process's listen such a connection took it (a caller that asks a port of that range where nobody listens may even meet itself). Now ports come from below that range, none twice in a process; drawn one by one they collided with each other in 2 of 42 runs in six lanes, which is why none is given twice.

Since: test_processes.py 20 runs in two lanes, test_handover.py once beside them, all pass.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import random
 import socket
 import socketserver
 import subprocess
@@ -23,6 +24,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 30.0
+_ports = iter(random.sample(range(16_000, 32_000), 16_000))
 
 
 class Box(socketserver.StreamRequestHandler):
@@ -47,9 +49,13 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Below those that the machine gives to connections going out: one of them, or a caller that meets itself
+    while nobody listens yet, would take it before the process does. None is given twice."""
+    while True:
+        port = next(_ports)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 class Place:
