Drive the wheel by the monotonic clock: Twisted's reactor runs on the wall clock

Root cause of the operators' lost requests on stepped machines: deadlines are counted on time.monotonic (cloverwell/wheel.py), but every tick of the wheel is a reactor.callLater, and in Twisted 26.10.0 `ReactorBase.seconds` (internet/base.py:944, python/runtime.py:17) is time.time. After a step forward all delayed calls fall due at once, connection time-outs among them.

Traced: one proxy, request `across` to a node that hangs, 800 ms for its client, step of -1 h 0.1 s after it was sent. Attempt at s1 at 680.938, told 784 ms; then "no tick for 0.47 s; the reactor has 1 delayed call, next due in 3599.53 s; 5 timers of the wheel are overdue". Its answer came after 3.88 s, when discovery's watch was answered and that news made the decisions look at their clock; the next request, `behind`, got nothing in 6 s. With the mend: 0.67 s, and at once.

Ruled out: the wheel's own clock (monotonic, overdue timers stood in its slots); epoch_ms (all starts were 0 in this trace); the kernel's waits (epoll's time-out is a span). Steps forward alone lost nothing here.

Change: cloverwell/monotonic_reactor.py installs the epoll reactor with a monotonic `seconds`, for `run`, the command line, the control node and `lab scale`.

--- a/cloverwell/__main__.py
+++ b/cloverwell/__main__.py
@@ -7,7 +7,6 @@
 import time
 from collections.abc import Callable
 
-from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
 from twisted.logger import globalLogBeginner
 
@@ -17,6 +16,7 @@
 from cloverwell.handover.messages import place
 from cloverwell.handover.successor import ask
 from cloverwell.log import Log
+from cloverwell.monotonic_reactor import install_reactor
 from cloverwell.service import Service
 from cloverwell.wheel import monotonic_ms
 
@@ -55,6 +55,7 @@
     # Where processes are replaced beside each other: the same folder for both, as the platform has it.
     folder = os.environ.get("TMPDIR", "") if config.operator else ""
     left = ask(place(folder, config.listen), config.listen, log) if folder else None
+    reactor = install_reactor()
     service = Service(reactor, config, log, monotonic_ms, epoch_ms, left)
     handle_signals(service, reactor.callFromThread)
     try:
--- a/cloverwell/control/server/program.py
+++ b/cloverwell/control/server/program.py
@@ -8,7 +8,6 @@
 from random import SystemRandom
 from typing import NoReturn
 
-from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
 from twisted.logger import globalLogBeginner
 
@@ -19,6 +18,7 @@
 from cloverwell.control.storage import StorageError
 from cloverwell.descriptors import raise_descriptors
 from cloverwell.log import Log
+from cloverwell.monotonic_reactor import install_reactor
 from cloverwell.wheel import monotonic_ms
 
 FAILED = 1
@@ -39,6 +39,7 @@
     raise_descriptors(MAX_CONNECTIONS + SPARE_DESCRIPTORS)
     if storage.dropped_bytes:
         log.warn("storage", f"a torn record of {storage.dropped_bytes} bytes was dropped")
+    reactor = install_reactor()
     server = NodeServer(reactor, settings, storage, log, monotonic_ms, SystemRandom())
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(server.stop))
--- a/lab/scale/child.py
+++ b/lab/scale/child.py
@@ -18,6 +18,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from cloverwell.monotonic_reactor import install_reactor
 from lab.scale import messages
 from lab.scale.tether import tether
 
@@ -110,7 +111,8 @@
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, wanted), hard))
     globalLogBeginner.beginLoggingTo([note_fault], redirectStandardIO=False)
-    from twisted.internet import reactor, stdio
+    reactor = install_reactor()
+    from twisted.internet import stdio  # it imports the reactor, which has to be the one installed here
 
     stdio.StandardIO(ParentPipe(reactor))
     reactor.run(installSignalHandlers=False)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -19,6 +19,7 @@
 LEVELS = (
     ("olivestair",),
     ("cloverwell.descriptors",),
+    ("cloverwell.monotonic_reactor",),
     ("cloverwell.wheel", "cloverwell.log", "cloverwell.counts", "cloverwell.flow", "cloverwell.serving"),
     ("cloverwell.codec", "cloverwell.store"),
     ("cloverwell.connections", "cloverwell.peers", "cloverwell.limits"),
