--- a/lab/control_node_processes.py
+++ b/lab/control_node_processes.py
@@ -26,6 +26,7 @@
         self.address = address
         self.file = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
+        self.command = COMMAND
         self.popen: subprocess.Popen | None = None
 
     @property
@@ -34,7 +35,7 @@
 
     def start(self) -> None:
         with self.log.open("a") as log:
-            self.popen = subprocess.Popen([*COMMAND, "serve", str(self.file)], cwd=ROOT, stderr=log)
+            self.popen = subprocess.Popen([*self.command, "serve", str(self.file)], cwd=ROOT, stderr=log)
 
     def end(self, number: int) -> int:
         """By that signal; its exit code."""
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
+from functools import partial
 from pathlib import Path
 
 from fleet_clients import Clients
@@ -55,12 +56,9 @@
         DOUBLE.pack_into(self._shared, STEP_AT, total_s)
         return total_s
 
-    async def is_seen(self, total_s: float) -> None:
-        """The process reads the stepped time: a step that nobody sees would prove nothing."""
-        await until(
-            lambda: abs(DOUBLE.unpack_from(self._shared, SEEN_AT)[0] - total_s) < SEEN_WITHIN_S,
-            "the process does not see the step",
-        )
+    def seen(self, total_s: float) -> bool:
+        """Whether the process reads the stepped time: a step that nobody sees would prove nothing."""
+        return abs(DOUBLE.unpack_from(self._shared, SEEN_AT)[0] - total_s) < SEEN_WITHIN_S
 
 
 class RealProxy:
@@ -174,13 +172,13 @@
             proxy.spawn()
         for proxy, step_s in zip(self.proxies, before, strict=True):
             await proxy.ready()
-            await proxy.clock.is_seen(step_s)
+            await until(partial(proxy.clock.seen, step_s), "the step is not seen")
 
     async def step(self, steps: Sequence[float]) -> None:
         """Steps the clock of each proxy, all at once, and waits until each sees its own."""
         totals = [proxy.clock.step(by_s) for proxy, by_s in zip(self.proxies, steps, strict=True)]
         for proxy, total_s in zip(self.proxies, totals, strict=True):
-            await proxy.clock.is_seen(total_s)
+            await until(partial(proxy.clock.seen, total_s), "the step is not seen")
 
     async def calls_of_discovery(self, before: Sequence[int]) -> None:
         """Waits until each proxy has called once more."""
--- a/tests/stepped_start.py
+++ b/tests/stepped_start.py
@@ -1,4 +1,4 @@
-"""Starts a module with a wall clock that a test steps: `stepped_start.py CLOCK_FILE MODULE ...`.
+"""Starts a program with a wall clock that a test steps: `stepped_start.py CLOCK_FILE MODULE[:FUNCTION] ...`.
 
 What the process reads as wall clock is replaced before anything else is imported, so that also what a library
 binds at its import (`from time import time`) is stepped. The monotonic clock is left alone. CLOCK_FILE holds
@@ -6,7 +6,7 @@
 through Twisted's own binding, which a thread here writes all the time: the control that the stepping works.
 """
 
-import datetime
+import importlib
 import mmap
 import os
 import runpy
@@ -51,24 +51,14 @@
 
 
 def replace_wall_clock(clock: SteppedClock) -> None:
-    """Every way in which Python code asks for the time of day."""
+    """The ways in which Python code asks `time` for the time of day. `datetime` asks the system itself and is
+    left alone: the program may not use it so (`test_clock_sources.py`)."""
     assert "twisted" not in sys.modules, "a library has bound the real clock already"
     time.time = clock.time
     time.time_ns = clock.time_ns
     time.clock_gettime = clock.clock_gettime
     time.clock_gettime_ns = clock.clock_gettime_ns
 
-    class SteppedDateTime(datetime.datetime):
-        @classmethod
-        def now(cls, tz=None):
-            return cls.fromtimestamp(clock.time(), tz)
-
-        @classmethod
-        def utcnow(cls):
-            return cls.fromtimestamp(clock.time(), datetime.UTC).replace(tzinfo=None)
-
-    datetime.datetime = SteppedDateTime
-
 
 def show_what_twisted_sees(clock: SteppedClock) -> None:
     from twisted.python.runtime import seconds
@@ -88,7 +78,11 @@
     show_what_twisted_sees(clock)
     sys.path.insert(0, os.getcwd())
     sys.argv = [module, *rest]
-    runpy.run_module(module, run_name="__main__", alter_sys=True)
+    module, _, function = module.partition(":")
+    if function:
+        getattr(importlib.import_module(module), function)()
+    else:
+        runpy.run_module(module, run_name="__main__", alter_sys=True)
 
 
 if __name__ == "__main__":
