Judge a node's start by the order of the lists where its Unix time cannot be right

Cause: `up_since_ms` was turned into the monotonic clock by an epoch that is sampled once, at the process's start, and believed whatever came out. On a machine that is an hour behind, each node of the last hour was cold for up to an hour; a start of 1e300 was cold for ever. A node that started after the clock of all machines was stepped back looked an hour old, and one that restarted then was not noticed as restarted, since its number was smaller.

Change: membership/node_starts.py decides, without I/O, and ServerList asks it. - A start in the future is one just now; so no slow start ends later than one warm-up after the start was first known. - A start that appears or changes behind a list from discovery and is told as older than that list, by more than a node takes to register (a fifth of the warm-up), is one just now. Likewise a number that is smaller than the one known before, and a negative one. - Any other number than the known one is a restart, also a smaller one, and is later than the start before; 0 is no news. - Starts of nodes that left the list are kept (1024 of them), so a zone that was cut off and is listed again is warm still. - A list is sound as a whole before any start of it is kept.

Ruled out: - To shift all starts by what the newest shows in the future: a node that started after the step would look as old as the step is long. - To mend earlier starts by what a later one tells of the offset: one clock is read by all machines, so numbers from before a step bear another offset. - To hold every start that differs from the list known at the process's start for new: that list has no date, and a fleet would be cold at each start. - To clamp to the list before it without the time to register: tried first.

--- a/cloverwell/membership/server_list.py
+++ b/cloverwell/membership/server_list.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -18,6 +17,7 @@
 from cloverwell.membership.list_retry import ANSWER_MS as RETRY_ANSWER_MS
 from cloverwell.membership.list_retry import ListRetry
 from cloverwell.membership.listing import PHASES, Listing, Member, ServerListError, split_address
+from cloverwell.membership.node_starts import KnownStarts, NodeStarts
 from cloverwell.wheel import Timer, Wheel
 from olivestair.api import ServerEntry, ServerState, Settings
 
@@ -56,7 +56,7 @@
         self._pools = pools
         self._log = log
         self._discovery = discovery
-        self._epoch_ms = epoch_ms
+        self._node_starts = NodeStarts(epoch_ms, settings.warm_up_ms)
         self._counts = counts
         self._heard_ms = wheel.now()  # discovery's last answer
         self._revision: int | None = None  # None: the whole list is to be asked for
@@ -71,7 +71,10 @@
 
     # The list ----------------------------------------------------------------------------------
 
-    def start(self, known: Listing) -> None:
+    def start(self, known: Listing, inherited: KnownStarts | None = None) -> None:
+        """`inherited`: what a predecessor that reads the same clock knows of the nodes' starts."""
+        if inherited is not None:
+            self._node_starts.inherit(inherited, self._wheel.now())
         self._take(known, held=True)
         if not known.members:
             self._revision = None  # what is newer than nothing may be nothing
@@ -86,11 +89,14 @@
         listing = Listing(listing.revision, listing.complete, once)
         # All is read before any of it takes effect: half a list would be worse than none.
         addresses = [split_address(member.host_port) for member in listing.members]
-        entries = tuple(self._entry(member) for member in listing.members)
+        for member in listing.members:
+            if member.phase not in PHASES:
+                raise ServerListError(f"unknown phase {member.phase[:60]!r}")
+        entries = self._entries(listing, held)
         for entry, (host, port) in zip(entries, addresses, strict=True):
             if entry.state is ServerState.READY:
                 origin = entry.kind == self._settings.origin_kind
-                cold_until = entry.started_ms + self._settings.warm_up_ms if entry.started_ms else -math.inf
+                cold_until = entry.started_ms + self._settings.warm_up_ms
                 self._pools.name(entry.server, host, port, origin, cold_until)
         self._revision = self._told = listing.revision
         self._keep(listing)
@@ -111,20 +117,28 @@
                 self._members.pop(member.id, None)
             else:
                 self._members[member.id] = member
+        self._node_starts.forget_gone(self._members.keys())
 
     def listing(self) -> Listing:
         """The whole list, for another process."""
         return Listing(self._told, True, list(self._members.values()))
 
-    def _entry(self, member: Member) -> ServerEntry:
-        if member.phase not in PHASES:
-            raise ServerListError(f"unknown phase {member.phase[:60]!r}")
-        started = member.up_since_ms + self._epoch_ms if member.up_since_ms else 0.0
+    def node_starts(self) -> KnownStarts:
+        """When the nodes started, for another process on this machine."""
+        return self._node_starts.snapshot(self._wheel.now())
+
+    def _entries(self, listing: Listing, held: bool) -> tuple[ServerEntry, ...]:
+        """The list as the decisions take it. All of it has been found sound: here the starts are kept."""
+        up_since_ms = {member.id: member.up_since_ms for member in listing.members}
+        started_ms = self._node_starts.take(up_since_ms, self._wheel.now(), held)
+        return tuple(self._entry(member, started_ms[member.id]) for member in listing.members)
+
+    def _entry(self, member: Member, started_ms: float) -> ServerEntry:
         return ServerEntry(
             server=member.id,
             state=PHASES[member.phase],
             weight=member.size,
-            started_ms=started,
+            started_ms=started_ms,
             kind=self._place(self._settings.machine_types, member.flavor),
             zone=self._place(self._settings.zones, member.locality),
             cell=member.cell,
--- a/olivestair/api.py
+++ b/olivestair/api.py
@@ -175,7 +175,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ServerEntry:
-    """One line of the list; `started_ms` is the clock time of the last start, 0 if long ago."""
+    """One line of the list; `started_ms` is the clock time of the last start, 0 or -inf if long ago."""
 
     server: str
     state: ServerState = ServerState.READY
