Hand the nodes' starts over to a successor, by the clock that both processes read

Cause: a successor got the list alone, and judged each start in it anew by its own wall clock. Where that had been stepped back by an hour, each node of the last hour was cold to it for a warm-up, at a replacement that is meant to be unnoticed; its first list from discovery stood behind no other.

Change: the handover state carries `node_starts`: each start as the predecessor judged it, and when its last list came, in monotonic time. The successor takes them in place of its wall clock's word.

Why the clock is one: the conversation goes over a Unix socket, which passes a descriptor, so both run under one kernel, in one boot. A time namespace or a restored process may show CLOCK_MONOTONIC with an offset all the same. So the predecessor writes what its clock shows, and the successor, which reads its own before it asks and after the answer, takes the starts only if that lies between the two. No tolerance is needed, and a slow machine changes nothing.

The format stays at version 1: readers pass unknown fields over and the new one may be missing, so an older process beside a newer one hands over as it did. MAX_ESTATE is doubled, since the starts come beside the list.

Ruled out: the boot's id from /proc, which a time namespace does not change; handing over the epoch, which is no better than the predecessor's wall clock at its start was.

--- a/cloverwell/handover/messages.py
+++ b/cloverwell/handover/messages.py
@@ -1,10 +1,13 @@
 """What two processes tell each other when one takes over: JSON, a message a line. No I/O.
 
     successor -> predecessor   {"version":1,"listen":"HOST:PORT"}
-    predecessor -> successor   {"version":1,"sockets":N,"table":{...}} and the listening socket's descriptor
+    predecessor -> successor   {"version":1,"sockets":N,"table":{...},"node_starts":{...}} and the listening
+                               socket's descriptor
     successor -> predecessor   {"serves":true}
 
-The conversation stays open from then on: its end tells each that the other process has gone.
+Fields that a process does not know are passed over, and `node_starts` may be missing: an older process
+beside a newer one is understood either way. The conversation stays open from then on: its end tells each
+that the other process has gone.
 """
 
 from typing import Any, TypeVar
@@ -12,11 +15,12 @@
 import msgspec
 
 from cloverwell.membership.listing import Listing, ServerListError, split_address
+from cloverwell.membership.node_starts import KnownStarts
 from cloverwell.membership.server_list import MAX_LIST
 
 VERSION = 1
 MAX_HELLO = 1024
-MAX_ESTATE = MAX_LIST
+MAX_ESTATE = 2 * MAX_LIST  # the list, and the starts of its nodes
 END = b"\n"
 
 T = TypeVar("T")
@@ -33,11 +37,23 @@
 
 class HandoverState(msgspec.Struct):
     """`sockets`: descriptors that the successor may hold until its predecessor has gone; `table`: the list as
-    it was told last."""
+    it was told last; `node_starts`: when its nodes started, by the clock that both processes read."""
 
     version: int
     sockets: int
     table: Listing
+    node_starts: KnownStarts | None = None
+
+    def keep_starts_of(self, asked_ms: float, received_ms: float) -> bool:
+        """Drops the starts, and returns False, unless they were written between these two moments.
+
+        A Unix socket joins processes of one running kernel, whose monotonic clock is one clock. A time
+        namespace, or a process that was restored from an image, may show it with an offset all the same.
+        """
+        if self.node_starts is None or asked_ms <= self.node_starts.clock_ms <= received_ms:
+            return True
+        self.node_starts = None
+        return False
 
 
 class Serves(msgspec.Struct):
--- a/cloverwell/handover/successor.py
+++ b/cloverwell/handover/successor.py
@@ -17,6 +17,7 @@
 from cloverwell.handover.messages import HandoverError, HandoverState, Hello, Serves
 from cloverwell.handover.sockets import is_ours, short
 from cloverwell.log import Log
+from cloverwell.wheel import monotonic_ms
 
 WAIT_S = 1.0  # for a silent predecessor: the platform waits 6 s for the first yes
 
@@ -79,8 +80,11 @@
                 raise HandoverError("the process that left its socket there has gone") from None
         if not is_ours(own):
             raise HandoverError("the process there is another user's")
+        asked_ms = monotonic_ms()
         own.sendall(messages.encode(Hello(messages.VERSION, f"{listen[0]}:{listen[1]}")))
         handover_state = messages.decode(_line(own, held, time.monotonic() + wait_s), HandoverState)
+        if not handover_state.keep_starts_of(asked_ms, monotonic_ms()):
+            log.warn("handover", "the predecessor reads another clock: its nodes' starts are not taken over")
         if len(held) != 1:
             raise HandoverError(f"{len(held)} sockets came, not one")
         with socket.socket(fileno=os.dup(held[0])) as listening:
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -147,10 +147,12 @@
     def start(self, listen: Callable = _listen, adopt: Callable = _adopt, folder: str = "") -> None:
         """Listens only when the list is known: who connects is served. `folder`: where a successor asks."""
         self.wheel.start()
-        known = self._config.known
-        if self._left is not None and self._left.handover_state.table.revision > known.revision:
-            known = self._left.handover_state.table
-        self.server_list.start(known)
+        known, inherited = self._config.known, None
+        if self._left is not None:
+            inherited = self._left.handover_state.node_starts
+            if self._left.handover_state.table.revision > known.revision:
+                known = self._left.handover_state.table
+        self.server_list.start(known, inherited)
         self._tell_figures()
         self._tell_counts()
         host, port = self._config.listen
@@ -249,7 +251,10 @@
         self._divide(keep)
         held = self._spare + sum(self.budget.held.values())
         handover_state = HandoverState(
-            VERSION, max(FD_MIN, full - max(keep, held)), self.server_list.listing()
+            VERSION,
+            max(FD_MIN, full - max(keep, held)),
+            self.server_list.listing(),
+            self.server_list.node_starts(),
         )
         return handover_state, self._port.share()
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,21 +1,31 @@
 """One process takes over from another: real processes on loopback, waited for by what they say."""
 
 import contextlib
+import io
+import json
 import os
 import signal
 import socket
 import subprocess
 import sys
 import threading
+from types import SimpleNamespace
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from scenario import EPOCH_MS, Player
 
 from cloverwell.connections.budget import Budget, Side
 from cloverwell.handover import messages
 from cloverwell.handover.messages import HandoverError, HandoverState, Hello
+from cloverwell.handover.successor import ask
+from cloverwell.log import Log
 from cloverwell.membership.listing import Listing, Member
+from cloverwell.membership.node_starts import KnownStarts, NodeStart
+from cloverwell.service import Service
+from cloverwell.wheel import monotonic_ms
 from lab.processes import PATIENCE_S, Clients, Place
 
 
@@ -146,6 +156,90 @@
         messages.decode(messages.encode(handover_state), HandoverState)
 
 
+# When the nodes started ------------------------------------------------------------------------------
+
+HOUR_MS = 3_600_000.0
+
+
+def test_a_successor_whose_wall_clock_was_stepped_back_takes_no_warm_node_for_a_cold_one():
+    old = Player()
+    old.play("wait 100\ndiscovery expect GET *")
+    told = {"warm": old.now() - EPOCH_MS - 5000.0, "cold": old.now() - EPOCH_MS - 100.0}
+    rows = [
+        {"id": name, "host_port": "127.0.0.9:201", "flavor": "large", "up_since_ms": up_since_ms}
+        for name, up_since_ms in told.items()
+    ]
+    listing = {"revision": 42, "complete": False, "members": rows}
+    old.play(f"discovery send 200 {json.dumps(listing)}")
+    server_list = old.service.server_list
+    state = HandoverState(messages.VERSION, 200, server_list.listing(), server_list.node_starts())
+    state = messages.decode(messages.encode(state).rstrip(), HandoverState)
+    left = SimpleNamespace(handover_state=state, listening=0, watch=lambda reactor, gone: None)
+    epoch_ms = EPOCH_MS + HOUR_MS
+    new = Service(old.reactor, old.config, Log(old.now, old.log), old.now, epoch_ms, left)
+    new.start(adopt=lambda reactor, descriptor, factory: None)
+    cold_ms = {name: new.back._nodes[name].cold_until_ms - old.now() for name in told}
+    assert cold_ms["warm"] < 0.0 and cold_ms["cold"] == pytest.approx(900.0, abs=1.0)
+
+
+STARTS = KnownStarts(5000.0, 4000.0, {"a": NodeStart(5.0, 3000.0)})
+
+
+@pytest.mark.parametrize(
+    "asked_ms, received_ms, kept", [(4999, 5001, True), (5001, 5900, False), (0, 4999, False)]
+)
+def test_starts_that_were_written_by_another_clock_are_dropped(asked_ms, received_ms, kept):
+    state = HandoverState(1, 200, Listing(7, True, []), STARTS)
+    assert state.keep_starts_of(asked_ms, received_ms) is kept
+    assert state.node_starts == (STARTS if kept else None)
+
+
+@pytest.mark.parametrize("offset_ms, kept", [(0.0, True), (HOUR_MS, False), (-HOUR_MS, False)])
+def test_a_predecessor_that_reads_another_clock_leaves_all_but_the_starts(tmp_path, offset_ms, kept):
+    path, log = str(tmp_path / "handover.sock"), io.StringIO()
+    with socket.socket() as listening, socket.socket(socket.AF_UNIX) as predecessor:
+        listening.bind(("127.0.0.1", 0))
+        listening.listen()
+        predecessor.bind(path)
+        predecessor.listen()
+
+        def answer():
+            caller, _ = predecessor.accept()
+            with caller:
+                caller.recv(1000)
+                starts = msgspec.structs.replace(STARTS, clock_ms=monotonic_ms() + offset_ms)
+                state = HandoverState(1, 200, Listing(7, True, []), starts)
+                socket.send_fds(caller, [messages.encode(state)], [listening.fileno()])
+                caller.recv(1)
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        left = ask(path, listening.getsockname(), Log(monotonic_ms, log), PATIENCE_S)
+        assert left is not None, log.getvalue()
+        os.close(left.listening)
+        left._socket.close()
+        thread.join()
+    assert (left.handover_state.node_starts is not None) is kept
+    assert log.getvalue().count("reads another clock") == (not kept)
+
+
+class OlderHandoverState(msgspec.Struct):
+    """As the version before wrote and read it."""
+
+    version: int
+    sockets: int
+    table: Listing
+
+
+def test_an_older_process_beside_a_newer_one_is_understood_either_way():
+    table = Listing(7, True, [Member("a", "127.0.0.1:1", up_since_ms=5.0)])
+    written = messages.encode(OlderHandoverState(1, 200, table)).rstrip()
+    assert messages.decode(written, HandoverState) == HandoverState(1, 200, table, None)
+    written = messages.encode(HandoverState(1, 200, table, STARTS)).rstrip()
+    assert msgspec.json.decode(written, type=OlderHandoverState) == OlderHandoverState(1, 200, table)
+    assert messages.decode(written, HandoverState).node_starts == STARTS
+
+
 def test_a_smaller_budget_takes_no_more_until_enough_is_given_back():
     budget = Budget(100)
     for _ in range(60):
