Know a proxy's process by a random run, and let the later connection stand

Cause: a subscription's run was the start's Unix time, and of two of one name the higher one stood. A proxy that was restarted after its clock had been stepped back was refused by the control node that still held the old process's connection (5 s of silence, when the machine said nothing), and the news of its moves removed neither its old connection nor its old loss elsewhere. After a step forward the process before it could be taken for the later one.

Change: the run is a random number of 53 bits and is compared for equality alone. Within a run the higher attempt stands, as before. Of two runs the one whose connection came later stands; the run that it has displaced is refused as long as it is here, also across its own reconnections, so that a predecessor and its successor do not displace one another in turn. A control node remembers eight displaced runs of a proxy, while it is subscribed. `SubscriberMoved` moves its own run alone.

Ruled out: order by connection alone, where two live processes of one name take the place from each other for ever; the monotonic clock as the run, which is smaller after the machine was started again or the proxy moved to another one.

Beside an older control node a random run is as often the lower as the higher one: a successor may be refused there while its predecessor is subscribed, and goes to the next node, as it did after a step. Control nodes go first.

--- a/cloverwell/control/messages.py
+++ b/cloverwell/control/messages.py
@@ -177,9 +177,9 @@
 class Subscribe(msgspec.Struct, frozen=True, tag=True):
     """A proxy's first message: which log it follows and how far it is.
 
-    `proxy`: its name in the fleet, the same after a restart. `run`: the start's Unix time in ms, and
-    `attempt`: a number that grows within a run; of two subscriptions of one name the one with the higher
-    pair stands. `position`: after what it has received; `loaded_index`: up to where that is loaded.
+    `proxy`: its name in the fleet, the same after a restart. `run`: a random number of this process, and
+    `attempt`: a number that grows within a run; which of two subscriptions of one name stands is told in
+    `subscribers`. `position`: after what it has received; `loaded_index`: up to where that is loaded.
     `last_node`: the control node that it was subscribed to before in this run, or "".
     """
 
--- a/cloverwell/control/net/follower.py
+++ b/cloverwell/control/net/follower.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from random import Random, SystemRandom
@@ -36,6 +35,7 @@
 Address = tuple[str, int]
 
 CONNECT_S = 30.0  # of the reactor's own; the subscription gives up long before
+RUN_BITS = 53  # as many as any reader of JSON keeps
 MAX_WAITING_BYTES = 64 * 1024  # what a proxy sends is a few bytes a second
 
 
@@ -75,7 +75,7 @@
         self._log = log
         self._now = now
         groups = tuple(tuple(group) for group in regions if group)
-        run = int(time.time() * 1000)
+        run = SystemRandom().getrandbits(RUN_BITS)  # never drawn from `random`: two may share its seed
         self.subscription = Subscription(
             proxy, run, log_name, groups, random or SystemRandom(), now(), timing=timing
         )
--- a/cloverwell/control/subscribers.py
+++ b/cloverwell/control/subscribers.py
@@ -4,11 +4,17 @@
 There is no queue for a subscriber: the log is the queue, and a subscriber is a place in it. At most a
 window of entries, or one snapshot, is on its way to it unacknowledged. Who falls further behind than the
 tail that is kept for it gets a snapshot, so a slow one costs no more than a fast one.
+
+A proxy's process is known by its run, a random number: runs are the same or another, never older or newer. Of
+two runs of one name the one that came later stands, and the one that it has displaced is refused while it is
+here. So a restart is a restart whatever the wall clocks say, and two processes that live beside each other
+don't displace one another in turn.
 """
 
 from __future__ import annotations
 
 from collections import Counter, deque
+from typing import NamedTuple
 
 from cloverwell.control.effects import CloseProxy, NodeEffect, SendProxy
 from cloverwell.control.entry import Position, Snapshot
@@ -31,12 +37,29 @@
 from cloverwell.control.replicated_log import CommittedLog
 from cloverwell.control.timing import FanoutTiming
 
+MAX_DISPLACED_RUNS = 8  # of one proxy that are remembered while it is here
+
+
+class RunAttempt(NamedTuple):
+    """One subscription of a process: which process, and which of its tries at a connection."""
+
+    run: int
+    attempt: int
+
+    def precedes(self, other: RunAttempt) -> bool:
+        """Whether both are of one process, and the other is its later one."""
+        return self.run == other.run and self.attempt < other.attempt
+
 
 class Subscriber:
-    """One proxy that follows the log over one connection."""
+    """One proxy that follows the log over one connection.
+
+    `displaced_runs`: of this proxy's name, whose places it has taken here, the latest last.
+    """
 
     __slots__ = (
         "acknowledged",
+        "displaced_runs",
         "heard_at",
         "in_flight",
         "in_flight_bytes",
@@ -49,9 +72,10 @@
         "token",
     )
 
-    def __init__(self, message: Subscribe, now: float) -> None:
+    def __init__(self, message: Subscribe, now: float, displaced_runs: tuple[int, ...] = ()) -> None:
         self.proxy = message.proxy
-        self.run_attempt = (message.run, message.attempt)
+        self.run_attempt = RunAttempt(message.run, message.attempt)
+        self.displaced_runs = displaced_runs
         self.acknowledged = message.loaded_index
         self.sent = message.position
         self.in_flight: deque[tuple[int, int]] = deque()  # index, bytes of payload
@@ -62,6 +86,18 @@
         self.refused_index = 0
         self.refused_reason = ""
 
+    def displaced_by(self, message: Subscribe) -> tuple[int, ...]:
+        """The runs that have been displaced once this message has taken the place of this subscriber."""
+        own = () if message.run == self.run_attempt.run else (self.run_attempt.run,)
+        return (*self.displaced_runs, *own)[-MAX_DISPLACED_RUNS:]
+
+    def gives_way_to(self, message: Subscribe) -> bool:
+        """Whether the message is of a later subscription than this one."""
+        coming = RunAttempt(message.run, message.attempt)
+        if coming.run == self.run_attempt.run:
+            return self.run_attempt.precedes(coming)
+        return coming.run not in self.displaced_runs
+
     def entries_sent(self, sent: Position, sizes: list[tuple[int, int]]) -> None:
         self.sent = sent
         self.in_flight.extend(sizes)
@@ -93,9 +129,7 @@
         self._timing = timing
         self._subscribers: dict[int, Subscriber] = {}  # by connection
         self._connections: dict[str, int] = {}  # by proxy
-        self._lost: dict[
-            str, tuple[tuple[int, int], float]
-        ] = {}  # by proxy: run and attempt, when to forget it
+        self._lost: dict[str, tuple[RunAttempt, float]] = {}  # by proxy: which one, when to forget it
         self._snapshot: Snapshot | None = None  # the last one made, for all who come at its position
 
     # Events
@@ -108,11 +142,12 @@
         if (reason := self._reason_against(message)) is not None:
             return self._refuse(connection, reason)
         effects: list[NodeEffect] = []
+        displaced_runs: tuple[int, ...] = ()
         if (old := self._connections.get(message.proxy)) is not None:
-            self._remove(old)
+            displaced_runs = self._remove(old).displaced_by(message)
             effects.append(CloseProxy(old))
         self._lost.pop(message.proxy, None)
-        subscriber = Subscriber(message, now)
+        subscriber = Subscriber(message, now, displaced_runs)
         self._subscribers[connection] = subscriber
         self._connections[message.proxy] = connection
         return effects + self._feed(connection, subscriber)
@@ -142,12 +177,12 @@
             self._lose(connection, now)
 
     def moved(self, message: SubscriberMoved) -> list[NodeEffect]:
-        """The proxy is subscribed elsewhere, unless it has come back here since."""
-        run_attempt = (message.run, message.attempt)
-        if message.proxy in self._lost and self._lost[message.proxy][0] < run_attempt:
+        """The proxy is subscribed elsewhere, unless it or another of its name has come here since."""
+        elsewhere = RunAttempt(message.run, message.attempt)
+        if message.proxy in self._lost and self._lost[message.proxy][0].precedes(elsewhere):
             del self._lost[message.proxy]
         connection = self._connections.get(message.proxy)
-        if connection is None or self._subscribers[connection].run_attempt >= run_attempt:
+        if connection is None or not self._subscribers[connection].run_attempt.precedes(elsewhere):
             return []
         self._remove(connection)
         return [CloseProxy(connection)]
@@ -212,8 +247,7 @@
         old = self._connections.get(message.proxy)
         if old is None:
             return RefusalReason.FULL if self.alive >= self._timing.subscribers else None
-        newer = (message.run, message.attempt) > self._subscribers[old].run_attempt
-        return None if newer else RefusalReason.INVALID
+        return None if self._subscribers[old].gives_way_to(message) else RefusalReason.INVALID
 
     def _refuse(self, connection: int, reason: RefusalReason) -> list[NodeEffect]:
         return [SendProxy(connection, Refusal(reason)), CloseProxy(connection)]
--- a/tests/test_control_fanout.py
+++ b/tests/test_control_fanout.py
@@ -32,7 +32,7 @@
     VoteAnswer,
 )
 from cloverwell.control.storage import StoredState
-from cloverwell.control.subscribers import summed_up
+from cloverwell.control.subscribers import MAX_DISPLACED_RUNS, summed_up
 from cloverwell.control.timing import FanoutTiming, SubscriptionTiming, Timing
 
 NODES = ("a", "b", "c")
@@ -102,6 +102,53 @@
     assert (report.alive, report.lost) == (1, 0)
 
 
+@pytest.mark.parametrize("run", [6, 8])
+def test_a_restart_takes_the_place_of_the_run_before_whatever_its_number(run):
+    """Seen with runs that were start times: stepped back, a restart was refused as older for 5 s or more."""
+    alone = node()
+    alone.receive_proxy(1, subscribe(run=7, attempt=3), 10_000.0)
+    effects = alone.receive_proxy(2, subscribe(run=run), 10_000.0)
+    assert effects[0] == CloseProxy(1) and 2 in alone.subscribers
+    report = alone.subscribers.report("a")
+    assert (report.alive, report.lost) == (1, 0)
+
+
+@pytest.mark.parametrize("run", [6, 8])
+def test_a_process_that_was_displaced_does_not_come_back_in_turn_while_its_successor_is_here(run):
+    alone = node()
+    alone.receive_proxy(1, subscribe(run=7), 10_000.0)
+    alone.receive_proxy(2, subscribe(run=run), 10_000.0)
+    refused = [SendProxy(3, Refusal(RefusalReason.INVALID)), CloseProxy(3)]
+    assert alone.receive_proxy(3, subscribe(run=7, attempt=2), 10_001.0) == refused
+    assert alone.receive_proxy(4, subscribe(run=run, attempt=2), 10_002.0)[0] == CloseProxy(2)
+    assert alone.receive_proxy(3, subscribe(run=7, attempt=3), 10_003.0) == refused
+    # The successor has died: its predecessor is welcome again.
+    alone.proxy_disconnected(4, 10_004.0)
+    assert alone.receive_proxy(5, subscribe(run=7, attempt=4), 10_005.0)[0] != refused[0]
+    assert (alone.subscribers.report("a").alive, alone.subscribers.report("a").lost) == (1, 0)
+
+
+@pytest.mark.parametrize("run", [6, 8])
+def test_news_that_another_process_of_the_name_has_moved_changes_nothing(run):
+    one = ControlNode("a", NODES, "main", StoredState(), Random(1), 0.0)
+    one.receive_proxy(1, subscribe(run=7), 1.0)
+    assert one.receive_peer("b", SubscriberMoved("p", run, 9), 2.0) == []
+    assert one.subscribers.alive == 1
+    one.proxy_disconnected(1, 3.0)
+    one.receive_peer("b", SubscriberMoved("p", run, 9), 4.0)
+    assert one.subscribers.report("a").lost == 1
+    one.receive_peer("b", SubscriberMoved("p", 7, 2), 5.0)
+    assert one.subscribers.report("a").lost == 0
+
+
+def test_what_is_remembered_of_displaced_runs_is_bounded():
+    alone = node()
+    for run in range(10 * MAX_DISPLACED_RUNS):
+        alone.receive_proxy(run, subscribe(run=run), 10_000.0)
+    (subscriber,) = alone.subscribers._subscribers.values()
+    assert subscriber.displaced_runs == tuple(range(run - MAX_DISPLACED_RUNS, run))
+
+
 def test_who_says_goodbye_is_gone_and_who_falls_silent_or_ends_is_lost_until_it_is_forgotten():
     alone = node(silence_ms=5_000.0, forget_ms=60_000.0)
     for number, name in enumerate(["good", "ended", "silent"]):
--- a/tests/test_control_follower.py
+++ b/tests/test_control_follower.py
@@ -100,6 +100,12 @@
     assert len(played.reactor.tries) == 4
 
 
+def test_no_two_processes_are_one_run_whatever_their_clocks_and_seeds_say(monkeypatch):
+    monkeypatch.setattr("time.time", lambda: 0.0)
+    runs = {Played().connect().run for _ in range(3)}
+    assert len(runs) == 3 and all(0 <= run < 2**53 for run in runs)
+
+
 def test_entries_are_put_in_force_in_order_and_acknowledged(played):
     entries = tuple(entry(index) for index in (1, 2, 3))
     at = positions(entries)
