Say what guards a member's incarnation against a step of the clock, and test it

Cause: peers/view.py said that a restart's incarnation is always higher. After a step back of the clock that it is taken from, it is lower.

Change: none in what the module does, which was found sound: the restarted proxy is dropped as of an old process until its silence makes it a suspect, is told so with the incarnation that is held of it, and denies by a higher one.

Ruled out: to answer a stale message with what is held of its sender. It would be heard sooner by some tenths of a second; but a process that was replaced and still sends would raise itself above its successor, and an existing test asks for silence there.

--- a/cloverwell/peers/view.py
+++ b/cloverwell/peers/view.py
@@ -10,7 +10,9 @@
 
 Proxies are known by their number in the tier, not by address: an address differs from one proxy to another.
 An incarnation is the start's Unix time in ms, and one more for each denial; denials are rarer than that,
-so a restart's is always higher. Times are milliseconds of one monotonic clock.
+so a restart's is higher, unless the clock was stepped back between the two starts. Then it is dropped as of
+an old process, until its silence makes it a suspect; it hears so, with the incarnation that is held of it,
+and denies it by a higher one. All other times are milliseconds of one monotonic clock.
 """
 
 from __future__ import annotations
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,7 +7,7 @@
 from cloverwell.peers import view as peers
 from cloverwell.peers.view import Figures, View
 from cloverwell.peers.wire import MOST_BYTES, Kind, Message, Rumour, State, WireError, decode, encode
-from lab.datagrams import Datagrams
+from lab.datagrams import Datagrams, Host
 
 KNOWN_S = 2.0  # by then all survivors of a tier of four or fewer hold a death
 SEEDS = range(1, 21)
@@ -113,6 +113,28 @@
     assert view.receive(1000.0 * net.now_s, old) == [] and view.stale == before + 1
 
 
+@pytest.mark.parametrize("step_ms", [-3_600_000, -1000, 3_600_000])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_restart_after_a_step_of_the_clock_is_heard_and_not_taken_for_dead(seed, step_ms):
+    net = met(3, seed)
+    before, since_s = net.hosts[2].view.incarnation, net.now_s
+    net.crash(2)
+    net.run(0.1)
+    net.hosts[2] = Host(View(2, 3, before + 100 + step_ms, seed))
+    net.run(KNOWN_S)
+    again = net.hosts[2].view.incarnation
+    assert net.agree({0, 1, 2}) and not net.deaths(since_s)
+    assert again > before and all(net.hosts[n].view.known[2].incarnation == again for n in (0, 1))
+
+
+def test_an_incarnation_that_is_not_heard_is_denied_by_the_member_itself():
+    """Stepped back it is dropped as of an old process, until its silence makes it a suspect: told so, it
+    takes a higher one."""
+    view = View(0, 3, 1000, 1)
+    outs = view.receive(0.0, Message(Kind.PING, 1, 1000, 1, rumours=(Rumour(0, 5000, State.SUSPECT),)))
+    assert view.incarnation == 5001 and outs[0].message.incarnation == 5001
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_three_of_four_die_at_once(seed):
     net = met(4, seed)
