Refuse reads of the wall clock and the default reactor outside a named list

Cause: nothing kept a new `time.time()`, or a reactor that runs by it, out of the tree; the uses were found by a search after they had done harm.

Change: tests/test_clock_sources.py reads each source of cloverwell, olivestair, lab, examples and benchmarks as a syntax tree and names each use of the wall clock (time, datetime, clock_gettime, formatters without a time, uuid1) and each import of Twisted's default reactor, under whatever name and wherever it stands. Two reads of the clock and five imports of the reactor are exceptions, one line each with its reason; an exception that no longer occurs fails too. 29 planted uses are found and seven harmless sources pass.

Ruled out: a search by text, which an alias or a line in a comment misleads; a rule of the linter, which knows no list of places with reasons. A name put together at run time is not seen.

--- /dev/null
+++ b/tests/test_clock_sources.py
@@ -0,0 +1,213 @@
+"""Only the places named here read the wall clock, or use the reactor that Twisted installs by default.
+
+A wall clock may be stepped at any moment, by seconds or by an hour. Durations and deadlines are therefore
+reckoned by the monotonic clock, and Twisted's default reactor, which runs its delayed calls by the wall
+clock, is not used. docs/design.md, "Unix time", has what each remaining use is for and what guards it.
+"""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+PACKAGES = ("cloverwell", "olivestair", "lab", "examples", "benchmarks")
+
+
+class Use(NamedTuple):
+    """`name`: as in `FORBIDDEN`, or `DEFAULT_REACTOR`."""
+
+    file: str
+    name: str
+
+
+DEFAULT_REACTOR = "twisted.internet.reactor"
+
+# Each exception, with its reason. One that no longer occurs fails the test too.
+EXCEPTIONS = {
+    Use("cloverwell/__main__.py", "time.time"): "the epoch for nodes' starts, read once; see node_starts.py",
+    Use("lab/scale/hollow.py", "time.time"): "the same, for a proxy without clients",
+    # Until the reactor that reads the monotonic clock is imported in their place.
+    Use("cloverwell/__main__.py", DEFAULT_REACTOR): "the program's loop",
+    Use("cloverwell/control/server/program.py", DEFAULT_REACTOR): "the program's loop",
+    Use("lab/control_follower.py", DEFAULT_REACTOR): "the program's loop",
+    Use("lab/scale/child.py", DEFAULT_REACTOR): "the program's loop",
+    Use("examples/toy_server.py", DEFAULT_REACTOR): "the program's loop",
+}
+
+# Names that read the wall clock wherever they stand, called or handed on.
+FORBIDDEN = {
+    "time.time",
+    "time.time_ns",
+    "time.CLOCK_REALTIME",
+    "time.CLOCK_TAI",
+    "datetime.datetime.now",
+    "datetime.datetime.utcnow",
+    "datetime.datetime.today",
+    "datetime.date.today",
+    "twisted.python.runtime.seconds",
+    "uuid.uuid1",
+    DEFAULT_REACTOR,
+}
+# Functions that read it unless they are given a time, with the place of that argument.
+FORBIDDEN_WITHOUT_TIME = {
+    "time.localtime": 0,
+    "time.gmtime": 0,
+    "time.ctime": 0,
+    "time.asctime": 0,
+    "time.strftime": 1,
+}
+# Functions that read the clock of that number: 0 is the wall clock's, so a name has to stand there.
+CLOCK_READERS = {"time.clock_gettime", "time.clock_gettime_ns"}
+
+
+class ClockUses(ast.NodeVisitor):
+    """Collects the forbidden names of one source, whatever they are imported as.
+
+    What is put together at run time, as by `getattr` with a string, is not seen.
+    """
+
+    def __init__(self, tree: ast.Module) -> None:
+        self.found: set[str] = set()
+        self._meanings: dict[str, str] = {}  # a name in this source -> what it was imported as
+        self._given_time: set[int] = set()  # ids of the functions of calls that are given a time
+        for node in ast.walk(tree):  # all imports first: a function may stand above the one that it needs
+            if isinstance(node, ast.Import):
+                self._import(node)
+            elif isinstance(node, ast.ImportFrom):
+                self._import_from(node)
+        self.visit(tree)
+
+    def _import(self, node: ast.Import) -> None:
+        for alias in node.names:
+            self._judge(alias.name)
+            top = alias.name.partition(".")[0]
+            self._meanings[alias.asname or top] = alias.name if alias.asname else top
+
+    def _import_from(self, node: ast.ImportFrom) -> None:
+        module = str(node.module)
+        self._judge(module)
+        for alias in node.names:
+            name = f"{module}.{alias.name}"
+            self._meanings[alias.asname or alias.name] = name
+            if alias.name == "*":  # it may bring any of the module's names
+                self.found |= {hidden for hidden in FORBIDDEN if hidden.startswith(f"{module}.")}
+            self._judge(name)
+
+    def visit_Call(self, node: ast.Call) -> None:
+        name = self._name_of(node.func)
+        place = FORBIDDEN_WITHOUT_TIME.get(name)
+        if place is not None and len(node.args) > place:
+            self._given_time.add(id(node.func))
+        if name in CLOCK_READERS and not (node.args and self._name_of(node.args[0])):
+            self.found.add(name)
+        self.generic_visit(node)
+
+    def visit_Attribute(self, node: ast.Attribute) -> None:
+        self._judge_use(node)
+        self.generic_visit(node)
+
+    def visit_Name(self, node: ast.Name) -> None:
+        self._judge_use(node)
+
+    def _name_of(self, node: ast.expr) -> str:
+        """The full name that a dotted expression stands for; "" for any other expression."""
+        if isinstance(node, ast.Name):
+            return self._meanings.get(node.id, "")
+        if isinstance(node, ast.Attribute) and (base := self._name_of(node.value)):
+            return f"{base}.{node.attr}"
+        return ""
+
+    def _judge(self, name: str) -> None:
+        if name in FORBIDDEN:
+            self.found.add(name)
+
+    def _judge_use(self, node: ast.expr) -> None:
+        name = self._name_of(node)
+        self._judge(name)
+        if name in FORBIDDEN_WITHOUT_TIME and id(node) not in self._given_time:
+            self.found.add(name)
+
+
+def uses(source: str) -> set[str]:
+    """The forbidden names that a source uses."""
+    return ClockUses(ast.parse(source)).found
+
+
+def all_uses() -> set[Use]:
+    return {
+        Use(path.relative_to(ROOT).as_posix(), name)
+        for package in PACKAGES
+        for path in sorted((ROOT / package).rglob("*.py"))
+        for name in uses(path.read_text())
+    }
+
+
+def test_the_wall_clock_is_read_at_the_named_places_alone():
+    assert sorted(all_uses() - set(EXCEPTIONS)) == []
+
+
+def test_no_exception_outlives_its_use():
+    assert sorted(set(EXCEPTIONS) - all_uses()) == []
+
+
+def test_each_package_is_there_to_be_searched():
+    for package in PACKAGES:
+        assert any((ROOT / package).rglob("*.py")), package
+
+
+@pytest.mark.parametrize(
+    ("source", "name"),
+    [
+        ("import time\ntime.time()", "time.time"),
+        ("import time\ntime.time_ns()", "time.time_ns"),
+        ("import time as t\nnow = t.time", "time.time"),
+        ("from time import time", "time.time"),
+        ("from time import time_ns as stamp\nstamp()", "time.time_ns"),
+        ("from time import *", "time.time"),
+        ("def late():\n    from time import time\n    return time()", "time.time"),
+        ("def now():\n    return time.time()\nimport time", "time.time"),
+        ("import time\ntime.clock_gettime(time.CLOCK_REALTIME)", "time.CLOCK_REALTIME"),
+        ("import time\ntime.clock_gettime(0)", "time.clock_gettime"),
+        ("from time import clock_gettime_ns\nclock_gettime_ns(0)", "time.clock_gettime_ns"),
+        ("import datetime\ndatetime.datetime.now()", "datetime.datetime.now"),
+        ("from datetime import datetime\ndatetime.now(tz=None)", "datetime.datetime.now"),
+        ("from datetime import datetime as moment\nmoment.utcnow()", "datetime.datetime.utcnow"),
+        ("import datetime as d\nd.datetime.today()", "datetime.datetime.today"),
+        ("from datetime import date\ndate.today()", "datetime.date.today"),
+        ("import time\ntime.localtime()", "time.localtime"),
+        ("from time import gmtime\ngmtime()", "time.gmtime"),
+        ("import time\ntime.ctime()", "time.ctime"),
+        ("import time\ntime.strftime('%H')", "time.strftime"),
+        ("import time\nstamp = time.strftime", "time.strftime"),
+        ("from twisted.internet import reactor", DEFAULT_REACTOR),
+        ("from twisted.internet import defer, reactor as loop", DEFAULT_REACTOR),
+        ("import twisted.internet.reactor", DEFAULT_REACTOR),
+        ("import twisted.internet.reactor as loop", DEFAULT_REACTOR),
+        ("from twisted.internet.reactor import callLater", DEFAULT_REACTOR),
+        ("import twisted.internet\ntwisted.internet.reactor.run()", DEFAULT_REACTOR),
+        ("def late():\n    from twisted.internet import reactor", DEFAULT_REACTOR),
+        ("from twisted.python import runtime\nruntime.seconds()", "twisted.python.runtime.seconds"),
+    ],
+)
+def test_a_planted_use_is_found(source, name):
+    assert name in uses(source)
+
+
+@pytest.mark.parametrize(
+    "source",
+    [
+        "import time\ntime.monotonic()\ntime.sleep(1)\ntime.perf_counter()",
+        "import time\ntime.clock_gettime(time.CLOCK_MONOTONIC)",
+        "import time\ntime.strftime('%H', time.gmtime(5.0))\ntime.localtime(0)\ntime.ctime(0)",
+        "from time import strftime, gmtime\nstrftime('%H', gmtime(5.0))",
+        "from datetime import datetime, timedelta\ndatetime.fromtimestamp(5.0) + timedelta(1)",
+        "from twisted.internet import defer, task\nfrom twisted.internet.epollreactor import EPollReactor",
+        "class Clock:\n    def time(self):\n        return self.now\nClock().time()\nreactor = Clock()",
+    ],
+)
+def test_what_reads_no_wall_clock_is_let_pass(source):
+    assert uses(source) == set()
