--- a/lab/control_follower.py
+++ b/lab/control_follower.py
@@ -101,9 +101,11 @@
 
 
 def main() -> None:
-    from twisted.internet import protocol, reactor, stdio
-
     from cloverwell.descriptors import raise_descriptors
+    from cloverwell.monotonic_reactor import install_reactor
+
+    reactor = install_reactor()
+    from twisted.internet import protocol, stdio  # `stdio` imports the reactor that is installed
 
     start = msgspec.json.decode(sys.stdin.buffer.readline(), type=Start)
     raise_descriptors(len(start.places) * 2 + 64)
--- a/tests/test_monotonic_reactor.py
+++ b/tests/test_monotonic_reactor.py
@@ -87,6 +87,7 @@
     "cloverwell.__main__",
     "cloverwell.cli.main, cloverwell.cli.control",
     "cloverwell.control.server.program",
+    "lab.control_follower",
     "lab.scale.child, lab.scale.hollow, lab.scale.discovery, lab.scale.load, lab.scale.relay",
 ]
 
