Send nothing for a client that left when the fetch of a key it shares ends with it

Cause: Dispatcher.gone reports one request after the other to the decisions. Where the first holds the fetch of a key (it waits for a place at the origin) and the second waits for that fetch, the end of the first has the second chosen again. When the next attempt of that client was given up, settle() carried this choice out: Dispatcher._carry_out_other started it though the request was over, and its bytes left for the node (seen: attempt of request 2 written, request.over true). Without such an attempt the request had been forgotten, the choice was dropped without a report, and its place at the cache node stayed taken for good (seen: server.out still held request 2 after its client had gone).

--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -104,7 +104,14 @@
 
     def _carry_out_other(self, choice: f.Choice) -> None:
         match choice:
-            case f.Send(name) | f.Refuse(name) | f.Fail(name):
+            case f.Send(name):
+                request = self._open.get(name)
+                if request is None or request.over:
+                    # Chosen as its client left: unreported, it would hold a place for good.
+                    self._facade.report(choice, Outcome.NOT_STARTED, True)
+                else:
+                    self._carry_out(choice, request)
+            case f.Refuse(name) | f.Fail(name):
                 if (request := self._open.get(name)) is not None:
                     self._carry_out(choice, request)
             case f.CallOff(name, number):
--- /dev/null
+++ b/tests/test_terms.py
@@ -0,0 +1,65 @@
+"""What the operators hold every version to, at the moments in which it is easily broken: on real sockets, one
+turn of the loop at a time. docs/terms.md has the whole list, and which test forces what."""
+
+import pytest
+from rig import Rig, read, write
+
+from cloverwell.back.pool import Pool
+
+
+@pytest.fixture
+def rig():
+    made = []
+
+    def make(**more):
+        made.append(Rig(**more))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+@pytest.fixture
+def begun(monkeypatch):
+    """The attempts that have been given to a node's connections so far."""
+    attempts = []
+    real = Pool.start
+
+    def start(pool, attempt):
+        attempts.append(attempt)
+        real(pool, attempt)
+
+    monkeypatch.setattr(Pool, "start", start)
+    return attempts
+
+
+# What a client that leaves hands on ---------------------------------------------------------------
+
+
+def places_taken(proxy):
+    servers = proxy.service.facade._balancer._servers.values()
+    return {name for server in servers for name, _number in server.out}
+
+
+@pytest.mark.parametrize("out", [b"", read(7)])
+def test_a_key_whose_fetch_ends_as_its_client_leaves_is_not_asked_for_that_client_again(rig, begun, out):
+    # The second read of a key waits for the first one's fetch, which waits for a place at the origin; both
+    # are one client's. `out` is a third that is called off as it leaves, before the others are forgotten.
+    proxy = rig()
+    proxy.service.facade._balancer._origins[0].limit = 1.0
+    proxy.client(write(9))
+    proxy.got(proxy.origin.take(), b"PUT /k9 ")
+    conn = proxy.client(out + read(1))
+    for number in (7, 1) if out else (1,):
+        node = proxy.nodes[0].take()
+        proxy.got(node, b"mg k%d " % number)
+    node.sendall(b"EN O1\r\n")
+    proxy.turn()
+    conn.sendall(read(2).replace(b"k2", b"k1"))
+    proxy.until(lambda: proxy.service.dispatcher.open_count == 3 + bool(out))
+    before = len(begun)
+    conn.close()
+    proxy.skip(60)
+    assert proxy.service.dispatcher.open_count == 1 and len(begun) == before
+    assert places_taken(proxy) == {"9"}
