Answer the first request of a new connection while the process is being emptied

Cause: a connection is let go between requests once a drain is 0.4 s old, or a planned end 0.5 s. The first flush of a new one (registerProducer, as the connection is made) already counted as such a moment, so our side was shut before the first request could come; that one was then read, thrown away and the connection closed with no answer. Seen: a client in the machine's queue as the port closes after SIGTERM, and any client that connects to a drained process, got an end where an answer was due.

Change: a connection that has asked nothing yet is not let go for being emptied in its first 250 ms, which is the time from the port's end to the cut (CUT_MS of serving.py). Those closed for room are as before.

Lines: ClientConnection._flush and let_go, ClientConnections.let_go (cloverwell/front).

--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -22,6 +22,7 @@
 MAX_PASSED = 1024 * 1024  # a longer value is not passed over: its client is told, and the connection closed
 FREE_ERRORS, MAX_ERRORS = 8, 24  # malformed commands in a row that cost no pause, and that close a connection
 ERROR_PAUSE_MS = 50.0  # what each of the others costs: the connection is not read for so long
+FIRST_REQUEST_MS = 250.0  # what a new connection's first request may take to come, when this process empties
 PASS_PAUSE_MS = 5.0  # nor behind each piece of what is thrown away once framing is lost
 FLOW_PIECE = 32 * 1024  # of what goes out: the transport holds so much while its client does not read
 FAILED = b"SERVER_ERROR failed\r\n"
@@ -59,6 +60,7 @@
         self._begun = False  # a command has begun and is not whole
         self._flow: Flow | None = None  # the long value that is on its way out
         self._arrival = Arrival()
+        self._made_ms = side.wheel.now()
 
     def dataReceived(self, data: bytes) -> None:
         if self.ended or self._lost:
@@ -282,7 +284,7 @@
             if self._lost:
                 return self._close_behind()
             # Who asks again at once would never be seen idle. More may have been read than is handed on yet.
-            if not self._parsing and self._side.lets_go():
+            if not (self._parsing or self.awaits_first) and self._side.lets_go():
                 self.let_go()
         if len(self._turns) >= AHEAD:
             self.hold()
@@ -344,6 +346,11 @@
         """Its client has not read all of its answers."""
         return self._writing
 
+    @property
+    def awaits_first(self) -> bool:
+        """Its first request may be on the way: closed now, it would be read and get no answer."""
+        return self._first and self._side.wheel.now() - self._made_ms < FIRST_REQUEST_MS
+
     def time_out(self) -> bool:
         """It has had no open request for long enough: tells of half a command, and closes."""
         if not self.halfway:
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -235,4 +235,5 @@
     def let_go(self, cut: bool = False) -> None:
         """Each that is between requests; `cut`: also one in the middle of a command."""
         for connection in list(self.connections):
-            connection.let_go(cut)
+            if not connection.awaits_first:
+                connection.let_go(cut)
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -6,6 +6,8 @@
 
 from cloverwell.back.pool import Pool
 
+HIT = b"VA 1 O%d\r\nx\r\n"
+
 
 @pytest.fixture
 def rig():
@@ -34,6 +36,34 @@
     return attempts
 
 
+# A new connection of a process that is being emptied ----------------------------------------------
+
+
+def test_the_first_request_of_a_connection_taken_as_the_port_closes_is_answered(rig):
+    proxy = rig()
+    proxy.service.stop()
+    conn = proxy.client()  # its request is on the way
+    proxy.lag(600)  # the port closes before the reactor has looked at it
+    proxy.turn()
+    assert proxy.service.side.connections and proxy.service._port is None
+    conn.sendall(read(1, 900))
+    proxy.skip(10)
+    node = proxy.nodes[0].take()
+    proxy.got(node, b"mg k1 ")
+    node.sendall(HIT % 1)
+    assert proxy.ended(conn) == HIT % 1 + b"END"
+
+
+def test_a_drained_process_answers_who_connects_before_it_asks(rig):
+    proxy = rig()
+    proxy.service.drain()
+    proxy.skip(1000)
+    conn = proxy.client()
+    proxy.skip(10)
+    conn.sendall(b"mn\r\n")
+    assert proxy.ended(conn) == b"SERVER_ERROR draining\r\nEND"
+
+
 # What a client that leaves hands on ---------------------------------------------------------------
 
 
