Count what a connection sends from its reading again once nothing stands unread

Cause: a connection with 64 commands in hand is not read, and what it holds unread counts from then (Arrival.not_read). That mark was taken back only where the reading went on with nothing unread. Where something was, and the connection was not held a second time, the mark stayed: each later command counted from that old moment, and was refused as late for as long as the connection lasted. Seen: a read 3 s later, with 2 s of its own and an idle node, refused (refused.late=1).

Change: behind each read with the mark set the socket is looked at, and the mark goes when nothing is there.

Lines: ClientConnection.dataReceived and release, Arrival.behind.

--- a/cloverwell/connections/arrival.py
+++ b/cloverwell/connections/arrival.py
@@ -1,7 +1,7 @@
 """Since when the bytes of a client's connection may have been there: decisions without I/O.
 
 A client counts its time from the first byte that it sends. The proxy reads that byte later: behind a time in
-which it did not read the connection, and as the first of a command that comes slowly.
+which it did not read the connection, or had not accepted it, and as the first of a command that comes slowly.
 """
 
 from __future__ import annotations
@@ -17,10 +17,15 @@
         self._read_ms = 0.0  # the bytes that were read last
         self._unread_since_ms: float | None = None  # nobody has looked since
 
-    def not_read(self, now: float) -> None:
-        """The connection is not read from now on."""
+    @property
+    def behind(self) -> bool:
+        """What is read next may have lain unread."""
+        return self._unread_since_ms is not None
+
+    def not_read(self, since_ms: float) -> None:
+        """The connection is not read from then on."""
         if self._unread_since_ms is None:
-            self._unread_since_ms = now
+            self._unread_since_ms = since_ms
 
     def nothing_there(self) -> None:
         """A look has shown that no byte waits: what comes from now on comes when it is read."""
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -75,6 +75,7 @@
             return
         if not self._held:  # else it stands behind what came before
             self._arrival.read(self._side.wheel.now(), not (len(self._in) or self._wanted))
+            self._look_behind()
         super().dataReceived(data)
         begun, self._begun = self._begun, self.halfway
         if self._begun and not begun:
@@ -89,10 +90,14 @@
 
     def release(self) -> None:
         self._side.not_read.pop(self, None)
-        if self._held and not self._unread():
-            self._arrival.nothing_there()
+        if self._held:
+            self._look_behind()
         super().release()
 
+    def _look_behind(self) -> None:
+        if self._arrival.behind and not self._unread():
+            self._arrival.nothing_there()
+
     @property
     def waits(self) -> bool:
         """A request of it is open."""
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -1,10 +1,13 @@
 """What the operators hold every version to, at the moments in which it is easily broken: on real sockets, one
 turn of the loop at a time. docs/terms.md has the whole list, and which test forces what."""
 
+import contextlib
+
 import pytest
 from rig import Rig, read, write
 
 from cloverwell.back.pool import Pool
+from cloverwell.front.client_connection import AHEAD
 
 HIT = b"VA 1 O%d\r\nx\r\n"
 
@@ -93,3 +96,33 @@
     proxy.skip(60)
     assert proxy.service.dispatcher.open_count == 1 and len(begun) == before
     assert places_taken(proxy) == {"9"}
+
+
+# Since when a client's request is on its way -------------------------------------------------------
+
+
+def answer_reads(proxy, node):
+    """All that stands at the node's connections is answered."""
+    while node._accept() is not None:
+        pass
+    for conn in node.taken:
+        with contextlib.suppress(BlockingIOError, ConnectionResetError):
+            for line in conn.recv(1 << 16).split(b"\r\n"):
+                if line.startswith(b"mg "):
+                    conn.sendall(HIT % int(line.split()[3][1:]))
+
+
+def test_a_connection_that_was_not_read_for_a_while_is_read_as_any_other_afterwards(rig):
+    proxy = rig()
+    conn = proxy.client(b"".join(read(number) for number in range(AHEAD)))
+    proxy.until(lambda: proxy.service.side.not_read)
+    conn.sendall(read(AHEAD))  # it stands unread when the first answer lets the reading go on
+    proxy.turn(5)
+    # All answers are there at once, so that the connection is not held a second time.
+    answer_reads(proxy, proxy.nodes[0])
+    proxy.until(lambda: not proxy.service.side.not_read)
+    proxy.skip(3000)
+    conn.sendall(read(100))
+    proxy.turn(5)
+    answer_reads(proxy, proxy.nodes[0])
+    proxy.got(conn, b"O100\r\nx\r\n")  # not refused as late
