Count the time of a request from before its connection waited to be accepted

Cause: while the port is not read (descriptors used up by idle clients, a start that waits for the control log, a successor that serves), connections with a request in them wait in the machine's queue. Their requests counted from the moment they were read. Seen, with 64 descriptors behind 220 idle clients: a write with 1900 ms, accepted 614 ms later, told the origin 1880 ms, which is 594 ms too much, and its final answer was due as much too late (over half a second late is lost).

Examined: the loop's lag is subtracted already, but the port's pause is no lag. So the bound goes by the length of the queue, first come first served.

Change: AcceptQueue keeps how many had been accepted at each look while connections may wait; one that is accepted after more others than the queue holds came after the first of them. What is left to such a request counts from there, but no less than 100 ms are left to it: a node may be told 150 ms too much, and a client whose time is over has closed.

--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -28,6 +28,13 @@
     return {descriptor for descriptor, _ in poll.poll(0)}
 
 
+def readable(handle: socket.socket | int) -> bool:
+    """Something can be read, or accepted, at once."""
+    poll = select.poll()
+    poll.register(handle, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class FramingError(Exception):
     """What has come can't be cut into messages any more."""
 
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -62,6 +62,14 @@
         self._arrival = Arrival()
         self._made_ms = side.wheel.now()
 
+    def waited(self, since_ms: float) -> None:
+        """It waited to be accepted: what it has sent may have come since then."""
+        self._arrival.accepted(since_ms)
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self._look_behind()
+
     def dataReceived(self, data: bytes) -> None:
         if self.ended or self._lost:
             # Read on, so that the client reads its answer rather than a reset; but at no cost to the others.
@@ -232,7 +240,7 @@
     def _take(self, turn: Turn) -> None:
         self._errors = 0
         # `d` counts from its first byte, which may have lain unread, or come long before a slow last one.
-        turn.request.left_ms -= self._arrival.age_ms(self._side.wheel.now())
+        turn.request.left_ms = self._arrival.left_ms(self._side.wheel.now(), turn.request.left_ms)
         self._turns.append(turn)
         self._side.busy(self)
         if len(self._turns) >= AHEAD:
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -6,7 +6,8 @@
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory
 
-from cloverwell.codec.lines import hung_up
+from cloverwell.codec.lines import hung_up, readable
+from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.budget import Budget, Side
 from cloverwell.connections.figures import Figures, What
 from cloverwell.connections.front import TURN, Close, Front, Reason
@@ -18,6 +19,7 @@
 from cloverwell.wheel import HELD_UP_MS, Wheel
 from olivestair.api import Settings
 
+BACKLOG = 512  # connections that the machine lets wait to be accepted
 SWEEP_MS = 50.0
 # Between the looks at connections that are not read. With a tick that is late by up to `HELD_UP_MS`, a
 # client's close is known within half of the 100 ms after which nothing may begin for it.
@@ -60,6 +62,7 @@
         self._budget = budget
         self._figures = figures
         self._full = False
+        self._queue = AcceptQueue(BACKLOG + 1)  # Linux lets one more wait than was asked for
         self.borrow: Callable[[], bool] = lambda: False  # asks the nodes' side for a descriptor
         self._looked_ms = wheel.now()  # at all that wait
         wheel.held_up = self._held_up
@@ -77,6 +80,10 @@
         if not self._budget.room(Side.FRONT):
             return None
         connection = ClientConnection(self)
+        if (since_ms := self._queue.accepted()) is not None:
+            connection.waited(since_ms)
+            if not self._waits():
+                self._queue.empty()
         self._budget.take(Side.FRONT)
         self.connections[connection] = None
         self._figures.add(What.ADMITTED)
@@ -112,8 +119,28 @@
             self._log.warn("accept", f"{len(self.connections)} connections of clients fill their part")
             self._rest()
 
+    def accepts_no_more(self) -> None:
+        """From now on who connects waits in the machine's queue, and its request with it."""
+        self._queue.not_read(self.wheel.now())
+
+    def _waits(self) -> bool:
+        """Someone waits to be accepted."""
+        fileno = getattr(self.port, "fileno", None)  # the lab's port has none, and is not looked at
+        return self.port is None or (fileno is not None and readable(fileno()))
+
+    def _look_at_queue(self) -> None:
+        if not self._queue.may_stand or self.port is None:
+            return
+        if self._waits():
+            self._queue.looked_at(self.wheel.now())
+        else:
+            self._queue.empty()
+            if self._full:
+                self.accepts_no_more()
+
     def _rest(self) -> None:
         self._figures.add(What.PAUSED)
+        self.accepts_no_more()
         self._full = True
         if self.port is not None:
             self.port.pauseProducing()
@@ -196,6 +223,7 @@
         self._close(overdue, len(overdue))
         self._keep_room()
         self._go_on()
+        self._look_at_queue()
 
     def _close(self, closes: list[Close], wanted: int) -> None:
         for close in closes:
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -19,7 +19,7 @@
 from cloverwell.counts import Counts
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.facade import Facade
-from cloverwell.front.client_connections import ClientConnections
+from cloverwell.front.client_connections import BACKLOG, ClientConnections
 from cloverwell.handover.messages import VERSION, HandoverError, HandoverState, place
 from cloverwell.handover.predecessor import SuccessorListener
 from cloverwell.handover.successor import Predecessor
@@ -38,7 +38,6 @@
 # After a node leaves, attempts to it may still be written for the settings' grace less this: the rule counts
 # from a send's first byte at the node, and the way there and the loop's lag come before it.
 DRAIN_MARGIN_MS = 50.0
-BACKLOG = 512
 OPERATOR_BACKLOG = 16
 COUNTS_MS = 5_000.0  # between the log lines that count what was done since the last one
 # of connections, in these too
@@ -179,6 +178,7 @@
             self._serve()
         else:
             self._port.pauseProducing()
+            self.side.accepts_no_more()
             self._follow_control()
 
     def _follow_control(self) -> None:
@@ -266,6 +266,7 @@
         self.side.port = None
         if self._port is not None:
             self._port.pauseProducing()
+        self.side.accepts_no_more()
         self._log.info("handover", "the successor serves")
 
     def successor_lost(self) -> None:
