Tell of half a command in time behind a long request, and leave whole ones behind errors

Causes: two places took what stands in a client's connection for half a command at the wrong time.

- Its 2.4 s ran from the answer before it, not from its first byte: half a command behind a write of 1.5 s was told 3.9 s after it stopped, and bad clients are owed their error within 3 s.
- Behind malformed commands the reading pauses.
Whole commands that wait for that pause counted as half of one: at the cut after SIGTERM one busy line was said for all of them, so that requests which had been read got no answer (seen: two writes behind 17 errors, one line).

Change: the first byte's time is kept (Arrival.seen_ms) and the guest is put in its order by it; nothing is told or closed while the pause is on.

Lines: Front.quiet, Arrival.ended, ClientConnection.let_go and time_out.

--- a/cloverwell/connections/arrival.py
+++ b/cloverwell/connections/arrival.py
@@ -14,9 +14,20 @@
 class Arrival:
     """Of one connection; all times in ms on the caller's clock."""
 
-    __slots__ = ("_command_ms", "_command_queued", "_queued", "_read_ms", "_read_queued", "_unread_since_ms")
+    __slots__ = (
+        "_command_ms",
+        "_command_queued",
+        "_looked_ms",
+        "_queued",
+        "_read_ms",
+        "_read_queued",
+        "_unread_since_ms",
+        "seen_ms",
+    )
 
     def __init__(self) -> None:
+        self._looked_ms = 0.0  # when bytes were read last, however long they had been there
+        self.seen_ms = 0.0  # when the first byte of the command in hand was
         self._command_ms = 0.0  # the first byte of the command in hand
         self._read_ms = 0.0  # the bytes that were read last
         self._unread_since_ms: float | None = None  # nobody has looked since
@@ -43,6 +54,7 @@
 
     def read(self, now: float, begins: bool) -> None:
         """Bytes have been read; `begins`: they begin a command, no part of one was in hand."""
+        self._looked_ms = now
         self._read_ms = now if self._unread_since_ms is None else self._unread_since_ms
         self._read_queued = self._queued
         if begins:
@@ -51,6 +63,7 @@
     def ended(self) -> None:
         """The command in hand is whole: what stands behind it came with the last bytes."""
         self._command_ms, self._command_queued = self._read_ms, self._read_queued
+        self.seen_ms = self._looked_ms
 
     def left_ms(self, now: float, wait_ms: float) -> float:
         """What is left at the least of the time for which the client of the command in hand waits."""
--- a/cloverwell/connections/front.py
+++ b/cloverwell/connections/front.py
@@ -146,8 +146,8 @@
         self._move(guest, entry, Stage.BUSY, now)
         entry.asked += 1  # only now: it decides in which line a quiet one stands
 
-    def quiet(self, guest: Hashable, now: float, half: bool) -> None:
-        """It has no open request; `half`: but a part of one."""
+    def quiet(self, guest: Hashable, now: float, half: bool, begun_ms: float = math.inf) -> None:
+        """It has no open request; `half`: but a part of one, which may have begun behind the last one."""
         entry = self._guests.get(guest)
         if entry is None or entry.stage is Stage.CLOSING:
             return
@@ -155,6 +155,14 @@
         if stage is entry.stage:
             return  # its time runs from its connection, its first byte or its answer on: an error wins none
         self._move(guest, entry, stage, now)
+        if half and begun_ms < now:
+            self._put_in_order(entry, begun_ms)
+
+    def _put_in_order(self, entry: Guest, begun_ms: float) -> None:
+        """The part of a request that it has sent is that old: those that are younger stand behind it."""
+        entry.since_ms = begun_ms
+        for other in [one for one in self._half if self._guests[one].since_ms > begun_ms]:
+            self._half.move_to_end(other)
 
     def more(self, guest: Hashable, now: float) -> None:
         """More bytes of half a command have come."""
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -122,6 +122,11 @@
                 turn.flow.drop()
         return [turn.request for turn in turns if turn.request is not None]
 
+    @property
+    def begun_ms(self) -> float:
+        """When the first byte of the command in hand was read."""
+        return self._arrival.seen_ms
+
     def _pause(self, wait_ms: float) -> None:
         if not self._paused:
             self._paused = True
@@ -368,14 +373,16 @@
         """It has had no open request for long enough: tells of half a command, and closes."""
         if not self.halfway:
             return self.let_go()
-        if self.ended or self._lost or self._unread():
+        if self.ended or self._lost or self._paused or self._unread():
             return False
         self._lose("half a command")
         return True
 
     def let_go(self, cut: bool = False) -> bool:
-        """Closes between requests, if this is such a moment; `cut`: a part of a request is none."""
-        if self.ended or self._turns or self._writing:
+        """Closes between requests, if this is such a moment; `cut`: a part of a request is none.
+
+        What stands behind malformed commands, until the pause for them is over, may be whole requests."""
+        if self.ended or self._turns or self._writing or self._paused:
             return False
         if (not cut and not self.between_requests) or self._unread():
             return False
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -166,7 +166,7 @@
 
     def quiet(self, connection: ClientConnection) -> None:
         """It has none, from now on; perhaps a part of one."""
-        self.front.quiet(connection, self.wheel.now(), connection.halfway)
+        self.front.quiet(connection, self.wheel.now(), connection.halfway, connection.begun_ms)
 
     def more(self, connection: ClientConnection) -> None:
         """More of half a command has come."""
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -11,7 +11,8 @@
 
 from cloverwell.back.pool import Pool
 from cloverwell.connections.accept_queue import AcceptQueue
-from cloverwell.front.client_connection import AHEAD
+from cloverwell.connections.front import Stage
+from cloverwell.front.client_connection import AHEAD, FREE_ERRORS
 
 SLACK_MS = 150.0  # the page's, of the time that a node is told
 HIT = b"VA 1 O%d\r\nx\r\n"
@@ -72,6 +73,48 @@
     assert proxy.ended(conn) == b"SERVER_ERROR draining\r\nEND"
 
 
+# A client that stops in the middle of a request ---------------------------------------------------
+
+
+BAD_CLIENT_MS = 3000.0  # the page's: by then one that stops in the middle has its error
+
+
+def play_until(proxy, end_ms):
+    """`skip` takes real time too."""
+    while proxy.now() < end_ms:
+        proxy.skip(5)
+
+
+def test_half_a_command_behind_a_long_request_is_told_within_three_seconds_of_its_first_byte(rig):
+    proxy = rig()
+    first_byte_ms = proxy.now()
+    conn = proxy.client(write(1) + b"mg k2 v O2")
+    node = proxy.origin.take()
+    proxy.got(node, b"PUT /k1 ")
+    play_until(proxy, first_byte_ms + 1500)
+    node.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr1")
+    proxy.got(conn, b"HD O1 cr1\r\n")
+    play_until(proxy, first_byte_ms + BAD_CLIENT_MS - 400)
+    assert proxy.service.side.front.stage_of(next(iter(proxy.service.side.connections))) is Stage.CLOSING
+    assert proxy.ended(conn) == b"CLIENT_ERROR half a command\r\nEND"
+
+
+def test_whole_commands_behind_malformed_ones_are_not_cut_as_half_a_command(rig):
+    # They have been read, and wait for the pause behind the errors: each is owed its answer.
+    proxy = rig()
+    resting = proxy.client(b"mn\r\n")
+    stop_ms = proxy.now()
+    proxy.service.stop()
+    play_until(proxy, stop_ms + 400)
+    errors = FREE_ERRORS + 9  # the last of their pauses is over 200 ms behind the cut
+    conn = proxy.client(b"no\r\n" * errors + write(1, 900) + write(2, 900))
+    proxy.skip(1500)
+    assert proxy.ended(resting).endswith(b"END")
+    answers = proxy.ended(conn)
+    assert answers.count(b"CLIENT_ERROR") == errors
+    assert answers.count(b"SERVER_ERROR") == 2 and answers.endswith(b"END")
+
+
 # What a client that leaves hands on ---------------------------------------------------------------
 
 
