--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -4,7 +4,9 @@
 import contextlib
 import json
 import re
+import socket
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -16,7 +18,10 @@
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.front import Stage
 from cloverwell.front.client_connection import AHEAD, FREE_ERRORS
+from lab.play import Play
 from lab.proxy import SETTINGS
+from lab.world import load
+from olivestair.state import Server
 
 SLACK_MS = 150.0  # the page's, of the time that a node is told
 HIT = b"VA 1 O%d\r\nx\r\n"
@@ -286,3 +291,33 @@
     player.connection("s1", 0)
     assert bool(written_s) == (waited_ms < GRACE_MS - HELD_UP_MS - WAY_MS)
     assert all(at - told_s <= (GRACE_MS - WAY_MS) / 1000.0 + 1e-6 for at in written_s)
+
+
+# Cold nodes before few proxies, and small writes ----------------------------------------------------
+
+
+HANDFUL = 5
+
+
+def test_a_handful_of_proxies_keeps_the_budget_of_cold_nodes():
+    summary = Play(msgspec.structs.replace(load("throng"), proxies=HANDFUL), 1).run()
+    assert not any(summary["rules"].values()), summary["breaches"]
+    assert summary["coldest_load"] < 0.95 and summary["service"] > 0.9, summary["ends"]
+
+
+def test_the_judge_catches_a_handful_that_takes_cold_nodes_for_warm_ones(monkeypatch):
+    monkeypatch.setattr(Server, "warmth", lambda server, now, start, warm_up_ms: 1.0)
+    assert Play(msgspec.structs.replace(load("throng"), proxies=HANDFUL), 1).run()["rules"]["cold"]
+
+
+def test_no_small_write_is_held_back_by_the_machine(rig):
+    proxy = rig()
+    proxy.client(read(1) + write(2))
+    proxy.until(lambda: proxy.service.pools.of("s1").connections)
+    proxy.until(lambda: proxy.service.pools.of("origin").connections)
+    pools = [proxy.service.pools.of(name) for name in ("s1", "origin")]
+    made = [*proxy.service.side.connections, *(one for pool in pools for one in pool.connections)]
+    assert len(made) == 3
+    for connection in made:
+        handle = connection.transport.getHandle()
+        assert handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
