--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -22,6 +22,7 @@
 MAX_PASSED = 1024 * 1024  # a longer value is not passed over: its client is told, and the connection closed
 FREE_ERRORS, MAX_ERRORS = 8, 24  # malformed commands in a row that cost no pause, and that close a connection
 ERROR_PAUSE_MS = 50.0  # what each of the others costs: the connection is not read for so long
+FIRST_REQUEST_MS = 250.0  # what a new connection's first request may take to come, when this process empties
 PASS_PAUSE_MS = 5.0  # nor behind each piece of what is thrown away once framing is lost
 FLOW_PIECE = 32 * 1024  # of what goes out: the transport holds so much while its client does not read
 FAILED = b"SERVER_ERROR failed\r\n"
@@ -59,6 +60,15 @@
         self._begun = False  # a command has begun and is not whole
         self._flow: Flow | None = None  # the long value that is on its way out
         self._arrival = Arrival()
+        self._made_ms = side.wheel.now()
+
+    def waited(self, since_ms: float) -> None:
+        """It waited to be accepted: what it has sent may have come since then."""
+        self._arrival.accepted(since_ms)
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self._look_behind()
 
     def dataReceived(self, data: bytes) -> None:
         if self.ended or self._lost:
@@ -73,6 +83,7 @@
             return
         if not self._held:  # else it stands behind what came before
             self._arrival.read(self._side.wheel.now(), not (len(self._in) or self._wanted))
+            self._look_behind()
         super().dataReceived(data)
         begun, self._begun = self._begun, self.halfway
         if self._begun and not begun:
@@ -87,10 +98,14 @@
 
     def release(self) -> None:
         self._side.not_read.pop(self, None)
-        if self._held and not self._unread():
-            self._arrival.nothing_there()
+        if self._held:
+            self._look_behind()
         super().release()
 
+    def _look_behind(self) -> None:
+        if self._arrival.behind and not self._unread():
+            self._arrival.nothing_there()
+
     @property
     def waits(self) -> bool:
         """A request of it is open."""
@@ -107,6 +122,11 @@
                 turn.flow.drop()
         return [turn.request for turn in turns if turn.request is not None]
 
+    @property
+    def begun_ms(self) -> float:
+        """When the first byte of the command in hand was read."""
+        return self._arrival.seen_ms
+
     def _pause(self, wait_ms: float) -> None:
         if not self._paused:
             self._paused = True
@@ -225,7 +245,7 @@
     def _take(self, turn: Turn) -> None:
         self._errors = 0
         # `d` counts from its first byte, which may have lain unread, or come long before a slow last one.
-        turn.request.left_ms -= self._arrival.age_ms(self._side.wheel.now())
+        turn.request.left_ms = self._arrival.left_ms(self._side.wheel.now(), turn.request.left_ms)
         self._turns.append(turn)
         self._side.busy(self)
         if len(self._turns) >= AHEAD:
@@ -282,7 +302,7 @@
             if self._lost:
                 return self._close_behind()
             # Who asks again at once would never be seen idle. More may have been read than is handed on yet.
-            if not self._parsing and self._side.lets_go():
+            if not (self._parsing or self.awaits_first) and self._side.lets_go():
                 self.let_go()
         if len(self._turns) >= AHEAD:
             self.hold()
@@ -344,18 +364,25 @@
         """Its client has not read all of its answers."""
         return self._writing
 
+    @property
+    def awaits_first(self) -> bool:
+        """Its first request may be on the way: closed now, it would be read and get no answer."""
+        return self._first and self._side.wheel.now() - self._made_ms < FIRST_REQUEST_MS
+
     def time_out(self) -> bool:
         """It has had no open request for long enough: tells of half a command, and closes."""
         if not self.halfway:
             return self.let_go()
-        if self.ended or self._lost or self._unread():
+        if self.ended or self._lost or self._paused or self._unread():
             return False
         self._lose("half a command")
         return True
 
     def let_go(self, cut: bool = False) -> bool:
-        """Closes between requests, if this is such a moment; `cut`: a part of a request is none."""
-        if self.ended or self._turns or self._writing:
+        """Closes between requests, if this is such a moment; `cut`: a part of a request is none.
+
+        What stands behind malformed commands, until the pause for them is over, may be whole requests."""
+        if self.ended or self._turns or self._writing or self._paused:
             return False
         if (not cut and not self.between_requests) or self._unread():
             return False
