Let the wheel pass over the empty ticks of a long hold-up, and outlive a look that fails

`Wheel._turn` walked each tick that had passed, one by one. A process that was stopped for an hour walked 3,600,000 of them at 1 ms and 720,000 at 5 ms before it read or answered anything. And `catch_up`, which looks at clients' sockets before the ticks, could take them with it: while `held_up` raised, no deadline fired in that turn or in any later one.

Where more than a round is to be made up, the wheel goes on to the next due timer at once, a round at a time, in the same order as before (`_advance`, `_next_due`). A fault of `held_up` is logged like that of a timer.

Lines: cloverwell/wheel.py, `catch_up`, `_turn`, `_advance`, `_next_due`.

--- a/cloverwell/wheel.py
+++ b/cloverwell/wheel.py
@@ -60,7 +60,10 @@
     def catch_up(self) -> None:
         """Called before anything leaves: if the loop was held up, what came meanwhile is looked at first."""
         if self.behind_ms > HELD_UP_MS:
-            self.held_up()
+            try:
+                self.held_up()
+            except Exception:  # a look that fails must not hold up the deadlines
+                self._faults.failure("look")
 
     def start(self) -> None:
         self._arm()
@@ -90,14 +93,27 @@
         self.lag_ms = max(0.0, now - (self._tick + 1) * self.granularity_ms)
         try:
             self.catch_up()  # the ticks come before the reads
-            while self._tick < until:
-                self._tick += 1
-                self._fire(self._tick)
+            self._advance(until)
             self.each_tick()
         finally:
             # A tick that fails must not be the last one: every deadline hangs on the wheel.
             self._arm()
 
+    def _advance(self, until: int) -> None:
+        """Fires each tick up to `until`; behind a long hold-up the ticks before the next due timer, of which
+        there may be millions, are passed over."""
+        while self._tick < until:
+            if until - self._tick > SLOTS:
+                self._tick = min(self._next_due(), until + 1) - 1
+            for tick in range(self._tick + 1, min(until, self._tick + SLOTS) + 1):
+                self._tick = tick
+                self._fire(tick)
+
+    def _next_due(self) -> float:
+        """The tick of the first timer."""
+        ticks = (timer.tick for slot in self._slots for timer in slot if timer.call is not None)
+        return min(ticks, default=math.inf)
+
     def _fire(self, tick: int) -> None:
         slot = self._slots[tick % SLOTS]
         if not slot:
