Count a request's time from the hold-up too, where it is read before the late tick

`Dispatcher.take` took the lag of the last tick off a request's `d`. A loop is mostly held up (stopped, swapped out) while it waits for its sockets, and then it reads them first: the tick comes after, so the last one was in time and nothing was taken off. A request that had lain in its socket's buffer past its `d` was forwarded, and told its node the whole of it: after a stop of 300 ms 887 ms of 900.

`Arrival.read` is told by how much the loop is behind, whether its tick has come or not (`Wheel.behind_ms`), and counts the bytes from there; `Dispatcher.take` takes nothing off any more, so that no time counts twice. One subtraction for each read more, one property for each request less.

Ruled out, by the code: an attempt that waits for a connection, a repeat past its window, a last byte kept back and a node that drains are looked at by the clock in `Pool.too_late` and `NodeConnection.send`, and a reused connection's age in `Pool._hand_to`, in either order.

Lines: connections/arrival.py `read`, front/client_connection.py `dataReceived`, dispatcher.py `take`.

--- a/cloverwell/connections/arrival.py
+++ b/cloverwell/connections/arrival.py
@@ -26,9 +26,13 @@
         """A look has shown that no byte waits: what comes from now on comes when it is read."""
         self._unread_since_ms = None
 
-    def read(self, now: float, begins: bool) -> None:
-        """Bytes have been read; `begins`: they begin a command, no part of one was in hand."""
-        self._read_ms = now if self._unread_since_ms is None else self._unread_since_ms
+    def read(self, now: float, begins: bool, behind_ms: float = 0.0) -> None:
+        """Bytes have been read; `begins`: they begin a command, no part of one was in hand; `behind_ms`: the
+        loop was held up for so long, and they may have been there as long."""
+        since_ms = now - behind_ms
+        if self._unread_since_ms is not None:
+            since_ms = min(since_ms, self._unread_since_ms)
+        self._read_ms = since_ms
         if begins:
             self._command_ms = self._read_ms
 
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -40,8 +40,7 @@
         """A new request: from here on it gets exactly one final answer."""
         now = self._wheel.now()
         self._counts.add("taken")
-        # `d` counts from the client's send: what the loop was held up may have passed in a socket's buffer.
-        request.left_ms -= WAY_MS + self._wheel.lag_ms
+        request.left_ms -= WAY_MS  # the clients' side has taken off what passed since its first byte was here
         request.left_ms = min(request.left_ms, self._close_by_ms - now)
         request.deadline_ms = now + request.left_ms
         if request.id in self._open:
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -67,12 +67,13 @@
             return
         # It may have waited to be let in, or for a loop that was held up, and its client have left since: the
         # close stands behind what is read now.
-        old, self._first = self._first or self._side.wheel.behind_ms > HELD_UP_MS, False
+        behind_ms = self._side.wheel.behind_ms
+        old, self._first = self._first or behind_ms > HELD_UP_MS, False
         if old and hung_up([self._socket]):
             self._side.have_left([self])
             return
         if not self._held:  # else it stands behind what came before
-            self._arrival.read(self._side.wheel.now(), not (len(self._in) or self._wanted))
+            self._arrival.read(self._side.wheel.now(), not (len(self._in) or self._wanted), behind_ms)
         super().dataReceived(data)
         begun, self._begun = self._begun, self.halfway
         if self._begun and not begun:
