Judge nothing by its age behind a hold-up before the loop has read and written once

After a hold-up their tick may come before what lies in the sockets is read, or what is owed can leave; the clock then says that 10 s have passed in which nobody had a chance. So behind a stop of 10 s an answer that its client was reading was cut off, and a long value whose rest lay in the socket was given up as standing still, with its client's connection; and behind a stop of 0.6 s in the half second for the last answers, the program ended over one.

In `Service._all_left` the lag of a tick is no part of the half second.

Ruled out: resting clients and half commands are no such case, `ClientConnection.let_go` and `time_out` look into the socket first. An answer that has begun and stops short is rightly counted in looks (`Pools._look_for_stalls`): a look is 25 ms and at least one read behind the one before.

Lines: wheel.py `_turn`, back/pools.py `_sweep`, front/client_connections.py `_sweep`, service.py `_all_left`.

--- a/cloverwell/back/pools.py
+++ b/cloverwell/back/pools.py
@@ -68,6 +68,9 @@
 
     def _sweep(self) -> None:
         now = self.wheel.now()
+        if self.wheel.just_held_up:  # nothing is too old before what came meanwhile is read
+            self.wheel.at(now, self._sweep)
+            return
         for pool in self._schedule.sweep(now):
             self._visit(pool, now)
         self.back.limits.tick(now)
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -191,6 +191,9 @@
 
     def _sweep(self) -> None:
         now = self.wheel.now()
+        if self.wheel.just_held_up:  # nobody is overdue before what came, or could leave, meanwhile has
+            self.wheel.at(now, self._sweep)
+            return
         self.wheel.at(now + SWEEP_MS, self._sweep)
         overdue = self.front.overdue(now)
         self._close(overdue, len(overdue))
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -344,6 +344,7 @@
             self._cut = self.serving.cuts(now)
             self._linger_until_ms = now + LINGER_MS
             return False
+        self._linger_until_ms += self.wheel.lag_ms  # in which nothing could leave, or be read
         # A client that does not read its answer must not keep the program from its end.
         return now >= self._linger_until_ms
 
--- a/cloverwell/wheel.py
+++ b/cloverwell/wheel.py
@@ -46,6 +46,9 @@
         self.lag_ms = 0.0  # how late the last tick came: the loop, or the machine, was held up so long
         self.each_tick: Callable[[], None] = lambda: None
         self.held_up: Callable[[], None] = lambda: None  # looks at what came meanwhile
+        # The tick came late, and what came to the sockets meanwhile may not have been read yet: who judges by
+        # age alone waits for the next tick, before which the loop reads. Never true of two ticks in a row.
+        self.just_held_up = False
         self._reactor = reactor
         self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
         self._tick = math.floor(now() / self.granularity_ms)
@@ -91,6 +94,7 @@
         now = self.now()
         until = math.floor(now / self.granularity_ms + 1e-6)
         self.lag_ms = max(0.0, now - (self._tick + 1) * self.granularity_ms)
+        self.just_held_up = self.lag_ms > HELD_UP_MS and not self.just_held_up
         try:
             self.catch_up()  # the ticks come before the reads
             self._advance(until)
