Count a stop of our own against no other process, and one bound for all a successor waits

`peers.View` judged others by the clock alone: a proxy that was stopped for 10 s came back, and before it read what they had sent took each suspect for dead and whom it had pinged for silent. And `handover.successor.ask`, which says that it blocks for `wait_s` at the most, gave that time to the connect, to the hello and to the answer, each.

`View._make_up`: a gap of over one period between two ticks is no part of a suspicion, nor of the ping that is out. `ask` has one deadline for all its steps.

Tests. tests/test_real_time.py. Seen to fail on the code before: 2 (the suspect of a proxy that was stopped, the slow predecessor). With them, and passing before as well, those that hold what was found sound: a leader of the control log that was stopped refuses a proposal and gives no lease before its tick, also where an answer from before lay in its socket (2); half an answer is given up by looks, not by a clock that ran on unread; steps of the wall clock change no retry of the decisions and no pause of the list's calls.

Lines: peers/view.py `tick`, `_make_up`; handover/successor.py `ask`, `_left_s`, `_line`.

--- a/cloverwell/handover/successor.py
+++ b/cloverwell/handover/successor.py
@@ -68,6 +68,7 @@
     """Blocks for `wait_s` at the most. None: nobody is there, or nobody that can be understood."""
     own = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     held: list[int] = []
+    until_s = time.monotonic() + wait_s
     try:
         own.settimeout(wait_s)
         with short(path) as name:
@@ -79,8 +80,9 @@
                 raise HandoverError("the process that left its socket there has gone") from None
         if not is_ours(own):
             raise HandoverError("the process there is another user's")
+        own.settimeout(_left_s(until_s))
         own.sendall(messages.encode(Hello(messages.VERSION, f"{listen[0]}:{listen[1]}")))
-        handover_state = messages.decode(_line(own, held, time.monotonic() + wait_s), HandoverState)
+        handover_state = messages.decode(_line(own, held, until_s), HandoverState)
         if len(held) != 1:
             raise HandoverError(f"{len(held)} sockets came, not one")
         with socket.socket(fileno=os.dup(held[0])) as listening:
@@ -97,11 +99,16 @@
     return Predecessor(handover_state, held[0], own)
 
 
+def _left_s(until_s: float) -> float:
+    """0 would be a socket that does not wait, and raises another error."""
+    return max(0.001, until_s - time.monotonic())
+
+
 def _line(own: socket.socket, held: list[int], until_s: float) -> bytes:
     """One message; the descriptors that come with it go to `held`."""
     data = b""
     while messages.END not in data:
-        own.settimeout(max(0.001, until_s - time.monotonic()))
+        own.settimeout(_left_s(until_s))
         piece, fds, _, _ = socket.recv_fds(own, 65536, 4)
         held += fds
         data += piece
--- a/cloverwell/peers/view.py
+++ b/cloverwell/peers/view.py
@@ -108,6 +108,7 @@
         self._lost = set(range(self.total)) - {self.number}  # not heard of yet, or dead
         self._suspects: set[int] = set()
         self._call_turn: list[int] = []  # whom of the lost to call in this round yet
+        self._ticked_ms = math.inf  # the last tick; none yet
 
     # What is known ------------------------------------------------------------------------------
 
@@ -189,6 +190,7 @@
 
     def tick(self, now: float) -> list[Out]:
         """To be called at least a few times in each period."""
+        self._make_up(now)
         out = self._judge(now) + self._advance(now)
         if self._lost and now - self._call_ms >= self.figures.call_ms:
             # Whoever has just started, or comes back, learns of us and we of it.
@@ -196,6 +198,16 @@
             out += self._call()
         return out
 
+    def _make_up(self, now: float) -> None:
+        """What came while this process was held up is not read yet: that time counts against nobody."""
+        held_up_ms, self._ticked_ms = now - self._ticked_ms, now
+        if held_up_ms <= self.figures.period_ms:
+            return
+        for number in self._suspects:
+            self.known[number].since_ms += held_up_ms
+        if self._trial is not None:
+            self._trial.begun_ms += held_up_ms
+
     def _call(self) -> list[Out]:
         """Calls some of the lost ones, each once before any a second time. News would be lost on them."""
         called: set[int] = set()
--- a/tests/test_real_time.py
+++ b/tests/test_real_time.py
@@ -5,13 +5,37 @@
 (`late`), or the tick comes before they are read (`Rig.lag`).
 """
 
+import io
+import socket
+from itertools import cycle
+from random import Random
+from unittest import mock
+
 import pytest
+from conftest import Driver
+from hypothesis import given
+from hypothesis import strategies as st
 from rig import Rig, read
 from scenario import Player
 from test_flow import Slow
+from twisted.internet.task import Clock
 
 from cloverwell.back.pool import FLOW_STILL_MS
+from cloverwell.control.control_node import ControlNode
+from cloverwell.control.entry import EntryKind
+from cloverwell.control.messages import AppendAnswer, ProposalOutcome, Propose, VoteAnswer
+from cloverwell.control.storage import StoredState
 from cloverwell.flow import LONG
+from cloverwell.handover import successor
+from cloverwell.log import Log
+from cloverwell.membership.list_retry import ListRetry
+from cloverwell.peers.view import Figures, View
+from cloverwell.peers.wire import NOBODY, Kind, Message, Rumour, State
+from cloverwell.wheel import Wheel
+from olivestair import api
+
+FIGURES = Figures()
+SETTINGS = Driver().settings
 
 ANSWER = b"VA 5 O1\r\nhello\r\n"
 
@@ -127,3 +151,148 @@
     rig.lag(FLOW_STILL_MS + 50.0)
     rig.skip(100)
     rig.ended(client)
+
+
+def test_half_an_answer_is_given_up_by_looks_and_not_by_a_clock_that_ran_on_unread():
+    player = Player()
+    player.play("client send mg k1 v O1 Pc=page,t=acme,d=1900\ns1 expect mg k1 *")
+    node, transport = player.connection("s1", 0)
+    node.dataReceived(b"VA 5 O1\r\nhe")
+    for _ in range(3):  # longer than it may stand still, in fewer looks
+        held_up(player, 60.0)
+    assert not transport.aborted
+    player.play("wait 80")  # nothing has come in between
+    assert transport.aborted
+
+
+# Other processes, judged by their silence -----------------------------------------------------------
+
+
+def met():
+    """A view of a tier of three, all of them alive, and a ping out."""
+    view = View(0, 3, 1000, 1)
+    for number in (1, 2):
+        view.receive(0.0, Message(Kind.PING, number, 1000, 1, NOBODY, ()))
+    assert view.tick(0.0) and view.alive() == {0, 1, 2}
+    return view
+
+
+def states(view):
+    return {number: known.state for number, known in view.known.items()}
+
+
+def test_a_proxy_that_was_stopped_takes_nobody_elses_silence_for_a_death():
+    view = met()
+    view.tick(50.0)
+    view.receive(50.0, Message(Kind.PING, 1, 1000, 2, NOBODY, (Rumour(2, 1000, State.SUSPECT),)))
+    view.tick(10_050.0)  # what both have sent meanwhile is not read yet
+    assert states(view) == {1: State.ALIVE, 2: State.SUSPECT}
+    view.receive(10_051.0, Message(Kind.PING, 2, 1001, 9, NOBODY, ()))
+    view.tick(10_100.0)
+    assert states(view) == {1: State.ALIVE, 2: State.ALIVE}
+
+
+def test_behind_a_stop_a_silent_one_dies_in_its_time():
+    view, now = met(), 10_000.0
+    while now < 10_000.0 + 2 * FIGURES.period_ms + 2 * FIGURES.suspect_ms:
+        view.tick(now)
+        now += FIGURES.period_ms / 4.0
+    assert State.DEAD in states(view).values()
+
+
+def leader(now):
+    """A control node that leads, with a lease: the second of three has voted for it and taken its entry."""
+    node = ControlNode("a", ("a", "b", "c"), "log", StoredState(), Random(1), 0.0)
+    node.tick(now)
+    node.receive_peer("b", VoteAnswer(0, "b", 1, True, pre_vote=True), now)
+    node.receive_peer("b", VoteAnswer(1, "b", 1, True), now)
+    node.receive_peer("b", AppendAnswer(1, "b", True, 1, now, 0.0), now)
+    assert node.status(now).has_quorum and node.status(now).lease_ms > 0.0
+    return node
+
+
+@pytest.mark.parametrize("late_answer", [True, False])
+def test_a_leader_that_was_stopped_serves_nobody_as_one_before_its_tick(late_answer):
+    node, now = leader(4000.0), 14_000.0
+    if late_answer:  # it has lain in the socket
+        node.receive_peer("b", AppendAnswer(1, "b", True, 1, 4000.0, 0.0), now)
+    assert not node.status(now).has_quorum and node.status(now).lease_ms == 0.0
+    answers = node.propose(7, Propose("name", EntryKind.CONFIGURATION, b"x"), now)
+    assert [answer.answer.outcome for answer in answers] == [ProposalOutcome.NO_QUORUM]
+
+
+# A predecessor --------------------------------------------------------------------------------------
+
+
+def test_a_successor_waits_for_a_slow_predecessor_no_longer_than_it_says(tmp_path, monkeypatch):
+    # Each step may take its time, all of them together no more than one of them.
+    waits = []
+
+    class Slow(socket.socket):
+        def settimeout(self, seconds):
+            waits.append(seconds)
+            super().settimeout(seconds)
+
+        def connect(self, address):
+            super().connect(address)
+            clock[0] += 0.75
+
+    clock = [100.0]
+    path = str(tmp_path / "place")
+    with socket.socket(socket.AF_UNIX) as listening:
+        listening.bind(path)
+        listening.listen()
+        monkeypatch.setattr(successor.socket, "socket", Slow)
+        monkeypatch.setattr(successor.time, "monotonic", lambda: clock[0])
+        assert successor.ask(path, ("127.0.0.1", 1), Log(lambda: 0.0, io.StringIO()), wait_s=1.0) is None
+    assert waits[0] <= 1.0 and waits[-1] <= 0.25
+
+
+# Steps of the wall clock ----------------------------------------------------------------------------
+
+STATUSES = st.sampled_from([api.Status.RESET, api.Status.TIMEOUT, api.Status.FULL, api.Status.MISS])
+TURNS = st.lists(st.tuples(st.integers(0, 2), st.floats(0.0, 700.0), STATUSES), min_size=1, max_size=6)
+WALL_STEPS = st.lists(st.floats(-1e9, 1e9), min_size=1, max_size=10)
+
+
+def stepping(steps):
+    """A wall clock that steps each time it is read."""
+    wall_s, endless = [1.7e9], cycle(steps)
+
+    def read_wall():
+        wall_s[0] += next(endless)
+        return wall_s[0]
+
+    return read_wall
+
+
+def retries_of(turns):
+    """What becomes of requests whose attempts end so, each after so long: the decisions with their times."""
+    drive, decided = Driver(), []
+    for cls, after_ms, status in turns:
+        name = drive.ask("k", cls)
+        while name not in drive.ended and name in drive.sends and len(decided) < 200:
+            drive.answer(name, status, after_ms)
+            drive.pass_time(5.0)
+            decided.append((drive.now, tuple(drive.sends[name]), drive.ended.get(name)))
+    return decided
+
+
+def pauses_of(turns):
+    """When discovery is called again, on the wheel, behind calls that fail after so long."""
+    clock = Clock()
+    wheel, retry, calls = Wheel(clock, 5.0, lambda: clock.seconds() * 1000.0), ListRetry(SETTINGS, 7), []
+    wheel.start()
+    for _, took_ms, _ in turns:
+        wheel.not_before(wheel.now() + retry.failed(took_ms), lambda: calls.append(wheel.now()))
+        clock.pump([0.02] * 350)
+    return calls
+
+
+@given(TURNS, WALL_STEPS)
+def test_steps_of_the_wall_clock_change_no_retry(turns, steps):
+    with mock.patch("time.time", lambda: 1.7e9):
+        steady = retries_of(turns), pauses_of(turns[:2])
+    with mock.patch("time.time", stepping(steps)):
+        assert (retries_of(turns), pauses_of(turns[:2])) == steady
+    assert steady[0] and len(steady[1]) == len(turns[:2])
