Count the repeat window from the clock before the write, not from the next look at it

`NodeConnection._written` read the clock when the last byte had been handed over. A process that is held up between the two takes its node's memory of the first attempt to last longer than it does, by as much: a repeat that waited for a connection left up to that time past the window, and may have run twice.

An attempt keeps the clock from before the write as well (`runs_from_ms`), and the window counts from there; what was told, and how long a node takes to answer, count from the later one as before.

Tests. tests/test_real_time.py: stopped for 100 ms behind the write, a repeat 1501 ms behind it is not sent, one at 1490 ms is.

Lines: back/node_connection.py `send`, `_write_rest`, `_written`; request.py; dispatcher.py `_ended`.

--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -161,10 +161,12 @@
             timer = self._pool.later(now + wait, self._write_rest)
             self._held_back = HeldBack(attempt, rest, timer)
         else:
-            self._written(attempt)
+            self._written(attempt, now)
         return Sent.OUT
 
-    def _written(self, attempt: Attempt) -> None:
+    def _written(self, attempt: Attempt, before_ms: float) -> None:
+        """`before_ms`: the clock before the write; the process may have been held up since."""
+        attempt.runs_from_ms = before_ms
         attempt.written_ms = self._pool.now()
         self.attempts.append(attempt)
 
@@ -177,7 +179,8 @@
             held.attempt.end(Outcome.NOT_CONNECTED)
             return
         # What was told counts from the last byte on: one that left too slowly is written anew elsewhere.
-        if self._spoilt() or held.attempt.over_told_ms(self._pool.now()) > 0.0:
+        now = self._pool.now()
+        if self._spoilt() or held.attempt.over_told_ms(now) > 0.0:
             return self.drop(Outcome.RESET)
         kept = held.rest if self._writing else self.put_command(held.rest)
         if kept is None:
@@ -187,7 +190,7 @@
             held.timer = self._pool.later(self._pool.now() + self._pool.tick_ms, self._write_rest)
         else:
             self._held_back = None
-            self._written(held.attempt)
+            self._written(held.attempt, now)
         return None
 
     def _spoilt(self) -> bool:
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -159,7 +159,7 @@
         request.attempts.pop(attempt.choice.number, None)
         self._count_told(attempt)
         if outcome not in f.NEVER_RAN and attempt.written_ms is not None:
-            request.ran_ms = min(request.ran_ms or attempt.written_ms, attempt.written_ms)
+            request.ran_ms = min(request.ran_ms or attempt.runs_from_ms, attempt.runs_from_ms)
         if outcome is Outcome.SERVED:
             request.finish(Served(body))
         choice = self._facade.report(attempt.choice, outcome, request.over)
--- a/cloverwell/request.py
+++ b/cloverwell/request.py
@@ -66,7 +66,8 @@
     moves: int = 0  # connections that were found closed before its last byte
     timer: Timer | None = None
     told_ms: int = 0  # the time that its command told its node, once the first byte was formatted
-    written_ms: float | None = None  # when its last byte was handed to the machine
+    written_ms: float | None = None  # when its last byte was handed to the machine, at the latest
+    runs_from_ms: float = 0.0  # and at the soonest: the clock before that
     over: bool = False
 
     def left_ms(self, now: float, held_ms: float = 0.0) -> int:
@@ -105,7 +106,7 @@
     deadline_ms: float = 0.0
     over: bool = False
     attempts: dict[int, Attempt] = field(default_factory=dict)  # those out, by number
-    ran_ms: float | None = None  # when the first attempt that may have run was written
+    ran_ms: float | None = None  # the clock before the first attempt that may have run was written
     # no new attempt is written sooner: one that we closed may be out at its node until then
     clear_ms: float = 0.0
     guard: Timer | None = None
--- a/tests/test_real_time.py
+++ b/tests/test_real_time.py
@@ -20,6 +20,7 @@
 from test_flow import Slow
 from twisted.internet.task import Clock
 
+from cloverwell.back.node_connection import NodeConnection
 from cloverwell.back.pool import FLOW_STILL_MS
 from cloverwell.control.control_node import ControlNode
 from cloverwell.control.entry import EntryKind
@@ -73,6 +74,28 @@
     assert 500 < told <= 900 - 295
 
 
+@pytest.mark.parametrize("waited, leaves", [(90, True), (101, False)])
+def test_a_window_counts_from_before_the_write_where_the_proxy_is_held_up_behind_it(
+    monkeypatch, waited, leaves
+):
+    # Nodes drop a repeat for 1500 ms from when the first came. The proxy is stopped for 100 ms between the
+    # write of its last byte and the next look at the clock.
+    player = Player()
+    write = NodeConnection.put_command
+
+    def write_and_stop(connection, data):
+        kept = write(connection, data)
+        late(player, 100)
+        return kept
+
+    monkeypatch.setattr(NodeConnection, "put_command", write_and_stop)
+    player.play("client send ms k1 1 O1 Pc=adjust,t=acme,d=1950|a\norigin expect PUT *")
+    monkeypatch.undo()
+    player.play("wait 1300\norigin close")
+    late(player, waited)
+    assert bool(sent(player, "origin", 2)) == leaves
+
+
 # Judged by age, behind a hold-up ---------------------------------------------------------------------
 
 
