Wait for the close before a further attempt from when it left, where the loop was held up

Where no request may have two attempts out, the next waits until the close of the first can have reached its node (`clear_ms`), counted from the decision to close. Twisted closes with the loop's next turn: a proxy that is stopped in between closes late, and at the same late tick the wait was over, so the next attempt left together with the close, and two were out.

The wait is set by the next tick, and what that tick came late is added to it (`Dispatcher._await_close`). In a loop that turns in time nothing changes but where the close takes less than a tick: the next attempt leaves up to a tick later.

Tests. tests/test_real_time.py: stopped for 100 ms behind the close, which takes 40.

Lines: dispatcher.py `_start`, `_await_close`, `_start_clear`.

--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -146,10 +146,24 @@
         request.attempts[choice.number] = attempt
         attempt.timer = self._wheel.not_before(ends, lambda: self._timed_out(attempt))
         if request.clear_ms > now:
-            self._wheel.not_before(request.clear_ms, lambda: attempt.over or pool.start(attempt))
+            self._wheel.at(now, lambda: self._await_close(attempt))
         else:
             pool.start(attempt)
 
+    def _await_close(self, attempt: Attempt) -> None:
+        """The close that the attempt waits for has left with this turn of the loop at the latest, and by so
+        much later as that was held up."""
+        late_ms = self._wheel.lag_ms if self._wheel.lag_ms > self._wheel.granularity_ms else 0.0
+        clear_ms = attempt.request.clear_ms + late_ms
+        if clear_ms > self._wheel.now():
+            self._wheel.not_before(clear_ms, lambda: self._start_clear(attempt))
+        else:
+            self._start_clear(attempt)
+
+    def _start_clear(self, attempt: Attempt) -> None:
+        if not attempt.over:
+            attempt.pool.start(attempt)
+
     def _timed_out(self, attempt: Attempt) -> None:
         attempt.pool.give_up(attempt, Outcome.TIMED_OUT)
 
--- a/tests/test_real_time.py
+++ b/tests/test_real_time.py
@@ -26,6 +26,7 @@
 from cloverwell.control.entry import EntryKind
 from cloverwell.control.messages import AppendAnswer, ProposalOutcome, Propose, VoteAnswer
 from cloverwell.control.storage import StoredState
+from cloverwell.facade import Outcome
 from cloverwell.flow import LONG
 from cloverwell.handover import successor
 from cloverwell.log import Log
@@ -33,6 +34,7 @@
 from cloverwell.peers.view import Figures, View
 from cloverwell.peers.wire import NOBODY, Kind, Message, Rumour, State
 from cloverwell.wheel import Wheel
+from lab.proxy import SETTINGS as SITE
 from olivestair import api
 
 FIGURES = Figures()
@@ -96,6 +98,20 @@
     assert bool(sent(player, "origin", 2)) == leaves
 
 
+def test_an_attempt_that_waits_for_a_close_waits_for_one_that_left_late():
+    # A connection is closed with the loop's next turn. The proxy is stopped before that, for longer than the
+    # close may take on its way: the next attempt would meet the first at the node.
+    player = Player(settings=SITE | {"limits": SITE["limits"] | {"second-copies": False}})
+    player.service.back.reach_ms = lambda node: 40.0
+    player.play("client send ms k1 1 O1 Pc=adjust,t=acme,d=900|a\norigin expect PUT *")
+    attempt = player.service.dispatcher._open["1"].attempts[0]
+    attempt.pool.give_up(attempt, Outcome.CALLED_OFF)
+    held_up(player, 100.0)
+    player.play("wait 30")
+    assert player.next_asked("origin") is None and player.service.dispatcher.open_count == 1
+    player.play("wait 20\norigin#2 expect PUT /k1 *\norigin#2 send 200 r\nclient expect HD O1 cr")
+
+
 # Judged by age, behind a hold-up ---------------------------------------------------------------------
 
 
