--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -40,8 +40,7 @@
         """A new request: from here on it gets exactly one final answer."""
         now = self._wheel.now()
         self._counts.add("taken")
-        # `d` counts from the client's send: what the loop was held up may have passed in a socket's buffer.
-        request.left_ms -= WAY_MS + self._wheel.lag_ms
+        request.left_ms -= WAY_MS  # the clients' side has taken off what passed since its first byte was here
         request.left_ms = min(request.left_ms, self._close_by_ms - now)
         request.deadline_ms = now + request.left_ms
         if request.id in self._open:
@@ -154,10 +153,24 @@
         request.attempts[choice.number] = attempt
         attempt.timer = self._wheel.not_before(ends, lambda: self._timed_out(attempt))
         if request.clear_ms > now:
-            self._wheel.not_before(request.clear_ms, lambda: attempt.over or pool.start(attempt))
+            self._wheel.at(now, lambda: self._await_close(attempt))
         else:
             pool.start(attempt)
 
+    def _await_close(self, attempt: Attempt) -> None:
+        """The close that the attempt waits for has left with this turn of the loop at the latest, and by so
+        much later as that was held up."""
+        late_ms = self._wheel.lag_ms if self._wheel.lag_ms > self._wheel.granularity_ms else 0.0
+        clear_ms = attempt.request.clear_ms + late_ms
+        if clear_ms > self._wheel.now():
+            self._wheel.not_before(clear_ms, lambda: self._start_clear(attempt))
+        else:
+            self._start_clear(attempt)
+
+    def _start_clear(self, attempt: Attempt) -> None:
+        if not attempt.over:
+            attempt.pool.start(attempt)
+
     def _timed_out(self, attempt: Attempt) -> None:
         attempt.pool.give_up(attempt, Outcome.TIMED_OUT)
 
@@ -167,7 +180,7 @@
         request.attempts.pop(attempt.choice.number, None)
         self._count_told(attempt)
         if outcome not in f.NEVER_RAN and attempt.written_ms is not None:
-            request.ran_ms = min(request.ran_ms or attempt.written_ms, attempt.written_ms)
+            request.ran_ms = min(request.ran_ms or attempt.runs_from_ms, attempt.runs_from_ms)
         if outcome is Outcome.SERVED:
             request.finish(Served(body))
         choice = self._facade.report(attempt.choice, outcome, request.over)
--- a/cloverwell/wheel.py
+++ b/cloverwell/wheel.py
@@ -46,6 +46,9 @@
         self.lag_ms = 0.0  # how late the last tick came: the loop, or the machine, was held up so long
         self.each_tick: Callable[[], None] = lambda: None
         self.held_up: Callable[[], None] = lambda: None  # looks at what came meanwhile
+        # The tick came late, and what came to the sockets meanwhile may not have been read yet: who judges by
+        # age alone waits for the next tick, before which the loop reads. Never true of two ticks in a row.
+        self.just_held_up = False
         self._reactor = reactor
         self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
         self._tick = math.floor(now() / self.granularity_ms)
@@ -60,7 +63,10 @@
     def catch_up(self) -> None:
         """Called before anything leaves: if the loop was held up, what came meanwhile is looked at first."""
         if self.behind_ms > HELD_UP_MS:
-            self.held_up()
+            try:
+                self.held_up()
+            except Exception:  # a look that fails must not hold up the deadlines
+                self._faults.failure("look")
 
     def start(self) -> None:
         self._arm()
@@ -88,16 +94,30 @@
         now = self.now()
         until = math.floor(now / self.granularity_ms + 1e-6)
         self.lag_ms = max(0.0, now - (self._tick + 1) * self.granularity_ms)
+        self.just_held_up = self.lag_ms > HELD_UP_MS and not self.just_held_up
         try:
             self.catch_up()  # the ticks come before the reads
-            while self._tick < until:
-                self._tick += 1
-                self._fire(self._tick)
+            self._advance(until)
             self.each_tick()
         finally:
             # A tick that fails must not be the last one: every deadline hangs on the wheel.
             self._arm()
 
+    def _advance(self, until: int) -> None:
+        """Fires each tick up to `until`; behind a long hold-up the ticks before the next due timer, of which
+        there may be millions, are passed over."""
+        while self._tick < until:
+            if until - self._tick > SLOTS:
+                self._tick = min(self._next_due(), until + 1) - 1
+            for tick in range(self._tick + 1, min(until, self._tick + SLOTS) + 1):
+                self._tick = tick
+                self._fire(tick)
+
+    def _next_due(self) -> float:
+        """The tick of the first timer."""
+        ticks = (timer.tick for slot in self._slots for timer in slot if timer.call is not None)
+        return min(ticks, default=math.inf)
+
     def _fire(self, tick: int) -> None:
         slot = self._slots[tick % SLOTS]
         if not slot:
