Let every port rest after an accept that failed, and keep its queue

Cause: the guard of the listening socket knew EMFILE and ENFILE alone, and left the pause to its owner. The operators' port and the control node's made none: 100 turns of the loop were 100 accepts. ENOBUFS and ENOMEM spun at the clients' port too; a connection that had ended in the queue (ECONNABORTED, EPROTO, ENETDOWN, EHOSTUNREACH, ETIMEDOUT) put off those behind it to the next turn, some with an exception in the log. A machine short of something at the first socket() ended the program.

The handover's socket rests likewise, and a probe that can't be opened there no longer ends the start.

`short_of_descriptors` is `accept_failed` now, since descriptors are one reason of several; the double in test_port is renamed with it, its counts are as they were.

--- a/cloverwell/control/server/port.py
+++ b/cloverwell/control/server/port.py
@@ -63,8 +63,8 @@
     def may_accept(self) -> int:
         return MAX_CONNECTIONS - len(self.connections)
 
-    def short_of_descriptors(self) -> None:
-        self.log.warn("accept", "no descriptor could be had")
+    def accept_failed(self, reason: str) -> None:
+        self.log.warn("accept", f"failed for a moment: {reason}")
 
     def buildProtocol(self, addr: IPv4Address) -> InboundConnection:
         self._last_number += 1
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -84,10 +84,10 @@
         self._keep_room()
         return connection
 
-    def short_of_descriptors(self) -> None:
-        """The machine, or something else in this process, has none left: a rest, until the next sweep."""
-        self._log.warn("accept", "no descriptor could be had")
-        self._rest()
+    def accept_failed(self, reason: str) -> None:
+        """The machine is short of something: the port rests a moment, who connects waits in its queue."""
+        self._log.warn("accept", f"failed for a moment: {reason}")
+        self._figures.add(What.PAUSED)
 
     def closed(self, connection: ClientConnection) -> None:
         if connection in self.connections:
--- a/cloverwell/front/operators.py
+++ b/cloverwell/front/operators.py
@@ -49,8 +49,8 @@
     def may_accept(self) -> int:
         return CALLERS
 
-    def short_of_descriptors(self) -> None:
-        """They have some of their own; what else took them gives them back."""
+    def accept_failed(self, reason: str) -> None:
+        self._log.warn("operator", f"no caller could be let in for a moment: {reason}")
 
     def buildProtocol(self, addr: IPv4Address) -> Caller:
         while len(self.callers) >= CALLERS:
--- a/cloverwell/handover/predecessor.py
+++ b/cloverwell/handover/predecessor.py
@@ -12,6 +12,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from cloverwell.front.port import RestingPort
 from cloverwell.handover import messages
 from cloverwell.handover.messages import HandoverError, HandoverState, Hello, Serves
 from cloverwell.handover.sockets import clear, is_ours, short
@@ -35,7 +36,7 @@
         """The successor has gone: all is ours again."""
 
 
-class _Port(unix.Port):
+class _Port(RestingPort, unix.Port):
     def connectionLost(self, reason: Failure) -> None:
         # Twisted unlinks the path here, a turn of the loop late: a successor may have its own there by then.
         tcp.Port.connectionLost(self, reason)
@@ -61,12 +62,13 @@
 
     def open(self) -> None:
         """Without it a successor takes the address by SO_REUSEPORT."""
-        clear(self._path)
         old = os.umask(0o177)
         try:
+            clear(self._path)
             with short(self._path) as name:
                 port = _Port(name, self, CALLERS, 0o600, reactor=self._reactor)
                 port.startListening()
+                port.guard()
             self._port = port
         except (CannotListenError, OSError) as error:
             self.log.warn("handover", f"no successor can ask: {error}".replace("\n", " "))
@@ -81,6 +83,9 @@
             self._port.stopListening()
             self._port = None
 
+    def accept_failed(self, reason: str) -> None:
+        self.log.warn("handover", f"no successor could be let in for a moment: {reason}")
+
     def buildProtocol(self, addr: object) -> SuccessorConnection | None:
         if self._callers >= CALLERS:
             return None
--- a/tests/test_port.py
+++ b/tests/test_port.py
@@ -20,7 +20,7 @@
     def may_accept(self):
         return self.room - len(self.let_in)
 
-    def short_of_descriptors(self):
+    def accept_failed(self, reason):
         self.short += 1
 
     def buildProtocol(self, addr):
