Try a connection that this machine could not begin again, and blame no server for it

Cause: any failure of socket() or connect() ended an attempt as not connected. That marked its node missed, counted as a refusal of its room, and took one of the request's attempts; three in a row ended it with time left. Errors of this machine (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EADDRINUSE, EAGAIN, EINTR; ENETUNREACH, ENETDOWN, EACCES, EPERM) are none of the node's.

Change: `system_calls.connect_fault` tells whose fault it was. `ConnectRetry` (no I/O): one connection is tried after 20 ms, however many attempts wait, and the others only when that has come up. An attempt that has waited 35 ms so ends as `NOT_SENT` (the module's `MOOT`): never ran, nothing is learnt of the node, another node may have an idle connection. Where the module then has no further attempt, and nothing has run, the dispatcher picks anew after 20 ms while there is time. Discovery's call is made again after 50 ms, within the time that it had; one that can't be made in it is a failed one, and pauses as before.

What answers or is silent (ECONNREFUSED, EHOSTUNREACH, ETIMEDOUT, ECONNRESET) is the node's as before.

Ruled out: waiting in the pool for as long as the request has time, since the module would take the node for silent and mark it; ending the attempt at once, since three attempts are gone in a moment. Not picked anew: requests that run in turn by key, which others would overtake.

--- a/cloverwell/back/pool.py
+++ b/cloverwell/back/pool.py
@@ -10,43 +10,22 @@
 
 from collections import deque
 
-from twisted.internet.address import IPv4Address
-from twisted.internet.error import ConnectionRefusedError
-from twisted.internet.protocol import ClientFactory
-from twisted.python.failure import Failure
-
 from cloverwell.back.node_connection import NodeConnection, Sent
+from cloverwell.back.opener import Opener
 from cloverwell.back.pool_set import PoolSet
 from cloverwell.connections.back import Use
 from cloverwell.connections.budget import Side
+from cloverwell.connections.connect_retry import HOLD_MS, RETRY_MS, ConnectRetry
 from cloverwell.connections.figures import What
 from cloverwell.facade import Outcome
 from cloverwell.request import Attempt
+from cloverwell.system_calls import LocalFault
 
 FLOW_STILL_MS = 10_000.0  # a long value of which nothing is given, or taken, is no more waited for
 MAX_WAITING = 256  # attempts that wait for a connection to one node
 MAX_MOVES = 4  # connections that one attempt may find closed before its last byte
 
 
-class _Opener(ClientFactory):
-    noisy = False
-
-    def __init__(self, pool: Pool) -> None:
-        self._pool = pool
-        self._address = pool.address
-        self._asked_ms = pool.now()
-
-    def buildProtocol(self, addr: IPv4Address) -> NodeConnection | None:
-        if self._address != self._pool.address:  # it has moved meanwhile
-            self._pool.mistaken()
-            return None
-        return self._pool.build(self._asked_ms)
-
-    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        refused = reason.check(ConnectionRefusedError) is not None
-        self._pool.failed(self._asked_ms, refused)
-
-
 class Pool:
     """One node's connections."""
 
@@ -68,6 +47,7 @@
         self.left = False  # off the server list
         self.begun = pools.begun
         self._waiting: deque[Attempt] = deque()
+        self._retry = ConnectRetry()
 
     def build(self, asked_ms: float) -> NodeConnection:
         return self._pools.build(self, asked_ms)
@@ -120,7 +100,7 @@
         expected = self.opening + self._resting > len(self._waiting)
         if expected or self._pools.may_open(self):
             self._wait(attempt)
-            if not expected:
+            if not expected and self._retry.may_try(self.opening):
                 self._open()
             return
         shared = [c for c in self.connections if self._may_share(c, attempt)]
@@ -158,7 +138,7 @@
 
     def _wait(self, attempt: Attempt) -> None:
         if len(self._waiting) >= MAX_WAITING:
-            attempt.end(Outcome.NOT_CONNECTED)
+            attempt.end(self._unsent_outcome)
             return
         self._waiting.append(attempt)
         self._pools.wake(self)
@@ -167,7 +147,12 @@
 
     def _unheard(self, attempt: Attempt) -> None:
         if attempt.written_ms is None and not attempt.over and attempt in self._waiting:
-            self.give_up(attempt, Outcome.NOT_CONNECTED)
+            self.give_up(attempt, self._unsent_outcome)
+
+    @property
+    def _unsent_outcome(self) -> Outcome:
+        """Of an attempt that found no connection."""
+        return Outcome.NOT_CONNECTED if self._retry.fault is None else Outcome.NOT_SENT
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.over:
@@ -175,7 +160,7 @@
         if attempt in self._waiting:
             self._waiting.remove(attempt)
             # Not a byte of it was written: to call it off, or time it out, leaves nothing that may have run.
-            attempt.end(Outcome.NOT_CONNECTED if outcome is Outcome.TIMED_OUT else outcome)
+            attempt.end(self._unsent_outcome if outcome is Outcome.TIMED_OUT else outcome)
             return
         if not any(connection.give_up(attempt, outcome) for connection in list(self.connections)):
             attempt.end(outcome)
@@ -219,15 +204,14 @@
         self._pools.budget.take(Side.BACK)
         host, port = self.address
         timeout = self._pools.connect_timeout_ms / 1000.0
-        self._pools.reactor.connectTCP(host, port, _Opener(self), timeout=timeout)
+        self._pools.reactor.connectTCP(host, port, Opener(self), timeout=timeout)
 
     def failed(self, asked_ms: float, refused: bool) -> None:
         """A connection could not be made: the attempt that has waited longest ends, others have their own.
 
         `refused`: the node said so; else it never came up."""
-        self.opening -= 1
-        self._pools.wake(self)
-        self._pools.budget.give_back(Side.BACK)
+        self._gave_up()
+        held_back = self._retry.answered()
         self._figures.add(What.CONNECT_REFUSED, self.node)
         if refused:
             self._back.connect_refused(self.node, len(self.connections), self.now())
@@ -235,13 +219,34 @@
             self._back.timed_out(self.node, len(self.connections), asked_ms, self.now())
         if len(self._waiting) > self.opening + self._resting:
             self._waiting.popleft().end(Outcome.NOT_CONNECTED)
+        if held_back:
+            self._open_for_waiting()
 
     def mistaken(self) -> None:
         """One that came up leads to where the node was: who waits gets another."""
+        self._gave_up()
+        self._open_for_waiting()
+
+    def not_begun(self, fault: LocalFault) -> None:
+        """This machine could not begin a connection: it is tried again soon, for those that wait."""
+        self._gave_up()
+        self._figures.add(What.NOT_OPENED, self.node)
+        now = self.now()
+        if self._retry.not_begun(fault):
+            self.later(now + RETRY_MS, self._try_again)
+        # Not for long: another node may have an idle connection, and this one must not seem to be silent.
+        for attempt in [one for one in self._waiting if now - one.asked_ms >= HOLD_MS]:
+            self.give_up(attempt, Outcome.NOT_SENT)
+
+    def _try_again(self) -> None:
+        self._retry.pause_over()
+        self._open_for_waiting()
+
+    def _gave_up(self) -> None:
+        """One that was opening is not any more."""
         self.opening -= 1
         self._pools.wake(self)
         self._pools.budget.give_back(Side.BACK)
-        self._open_for_waiting()
 
     def opened(self, connection: NodeConnection) -> None:
         self.opening -= 1
@@ -250,7 +255,10 @@
         now = connection.idle_since_ms = self.now()
         self._figures.add(What.OPENED, self.node)
         self._back.connected(self.node, now - connection.asked_ms, now)
+        held_back = self._retry.answered()
         self.freed(connection)
+        if held_back:
+            self._open_for_waiting()
 
     def freed(self, connection: NodeConnection) -> None:
         """A connection has no attempt, or one less: the attempt that has waited longest takes it."""
@@ -356,12 +364,14 @@
         self._open_for_waiting()
 
     def _open_for_waiting(self) -> None:
-        while len(self._waiting) > self.opening + self._resting and self._pools.may_open(self):
+        while len(self._waiting) > self.opening + self._resting and self._retry.may_try(self.opening):
+            if not self._pools.may_open(self):
+                return
             self._open()
 
     def open_ahead(self, now: float) -> bool:
         """Whether any were wanted: then more may be, or there was no room for them."""
-        wanted = self._back.ahead(self.node, self.held, now)
+        wanted = self._back.ahead(self.node, self.held, now) if self._retry.fault is None else 0
         for _ in range(wanted):
             if not self._pools.spare_room():
                 break
--- a/cloverwell/connections/figures.py
+++ b/cloverwell/connections/figures.py
@@ -13,6 +13,7 @@
 
     OPENED = "opened"  # back: a connection came up
     CONNECT_REFUSED = "connect_refused"  # back: none came up
+    NOT_OPENED = "not_opened"  # back: this machine could not begin one, whatever the node
     AHEAD = "opened_ahead"  # back: asked for before an attempt needed it
     REUSED = "reused"  # back: an attempt was written to one that had served before
     RETIRED = "retired"  # back: closed by us while idle
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -15,6 +15,7 @@
 # Before its client gives up, a request that nothing has ended is failed. The module ends its attempts two
 # ticks and 2 ms before: a guard rounded down into the tick of those would fail what is to be refused.
 GUARD_MS = 1.0
+PICK_AGAIN_MS = 20.0  # after an attempt that this machine could not send
 WAY_MS = 1.0  # a request's way here and an answer's way back
 
 
@@ -164,11 +165,35 @@
         if outcome is Outcome.SERVED:
             request.finish(Served(body))
         choice = self._facade.report(attempt.choice, outcome, request.over)
-        if not request.over:
+        if outcome is Outcome.NOT_SENT and self._may_pick_again(request, choice):
+            self._wheel.not_before(self._wheel.now() + PICK_AGAIN_MS, lambda: self._pick_again(request))
+        elif not request.over:
             self._carry_out(choice, request)
         self._forget(request)
         self.settle()
 
+    def _may_pick_again(self, request: Request, choice: f.Choice) -> bool:
+        """The module has no further attempt for a request that this machine alone kept from being sent, and
+        there is time for one: what it was short of may be there by then."""
+        if request.over or request.attempts or request.ran_ms is not None:
+            return False
+        if not isinstance(choice, f.Refuse | f.Fail):
+            return False
+        if self._facade.settings.classes[request.class_number].in_turn:
+            return False  # picked anew, others with its key would overtake it
+        return self._wheel.now() + PICK_AGAIN_MS + WAY_MS < self._answer_by_ms(request)
+
+    def _pick_again(self, request: Request) -> None:
+        if request.over:
+            return
+        self._counts.add("picked_again")
+        request.left_ms = self._answer_by_ms(request) - self._wheel.now()
+        self._carry_out(self._facade.pick(request), request)
+        self.settle()
+
+    def _answer_by_ms(self, request: Request) -> float:
+        return min(request.deadline_ms, self._close_by_ms)
+
     def _count_told(self, attempt: Attempt) -> None:
         """No attempt tells its node more time than its client has left; what did would show here."""
         if attempt.written_ms is not None and (over := attempt.over_told_ms(attempt.written_ms)) > 0.0:
--- a/cloverwell/facade.py
+++ b/cloverwell/facade.py
@@ -26,9 +26,10 @@
     NOT_CONNECTED = Status.CONNECT_FAILED
     RESET = Status.RESET
     CALLED_OFF = Status.CANCELLED
+    NOT_SENT = Status.MOOT  # for a fault of this machine: it says nothing of the server
 
 
-NEVER_RAN = tuple(Outcome(status) for status in api.NEVER_RAN if status is not Status.MOOT)
+NEVER_RAN = tuple(Outcome(status) for status in api.NEVER_RAN)
 
 
 class Subject(Protocol):
--- a/cloverwell/membership/server_list.py
+++ b/cloverwell/membership/server_list.py
@@ -18,6 +18,7 @@
 from cloverwell.membership.list_retry import ANSWER_MS as RETRY_ANSWER_MS
 from cloverwell.membership.list_retry import ListRetry
 from cloverwell.membership.listing import PHASES, Listing, Member, ServerListError, split_address
+from cloverwell.system_calls import connect_fault
 from cloverwell.wheel import Timer, Wheel
 from olivestair.api import ServerEntry, ServerState, Settings
 
@@ -29,6 +30,7 @@
     1200.0  # behind its wait, the answer of a watch is late: the same is asked on a new connection at once
 )
 ANSWER_MS = 1900.0  # what other calls may take
+OPEN_AGAIN_MS = 50.0  # after a connection that this machine could not begin
 MOST_WAIT_MS = 60_000.0  # that discovery lets a call wait
 MAX_LIST = 4 * 1024 * 1024  # no cap on its lines: a thousand of them, with long names and indented
 
@@ -176,6 +178,17 @@
         timeout_ms = min(self._settings.connect_timeout_ms, ANSWER_MS)
         self._reactor.connectTCP(host, port, opener, timeout=timeout_ms / 1000.0)
 
+    def not_begun(self, opener: _Opener, target: str) -> None:
+        """This machine could not begin the connection. Discovery has not failed: the call that is out is made
+        again soon, and has the time that it had."""
+        self._counts.add("list.not_opened")
+        due_ms = self._wheel.now() + OPEN_AGAIN_MS
+        self._wheel.not_before(due_ms, lambda: self._open_again(opener, target))
+
+    def _open_again(self, opener: _Opener, target: str) -> None:
+        if self._opener is opener and self._call is not None:
+            self._open(target)
+
     def move(self, discovery: tuple[str, int]) -> None:
         """Discovery is elsewhere: the watch goes on there, with its whole list, and the old one's ends."""
         if discovery == self._discovery:
@@ -333,5 +346,9 @@
         return WatchConnection(self._server_list, self._target, f"{addr.host}:{addr.port}")
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        if self._server_list.is_current(self):
+        if not self._server_list.is_current(self):
+            return
+        if connect_fault(reason.value) is not None:
+            self._server_list.not_begun(self, self._target)
+        else:
             self._server_list.failed(f"not connected: {reason.getErrorMessage()}")
--- a/cloverwell/service.py
+++ b/cloverwell/service.py
@@ -42,7 +42,7 @@
 OPERATOR_BACKLOG = 16
 COUNTS_MS = 5_000.0  # between the log lines that count what was done since the last one
 # of connections, in these too
-COUNTED = (What.OPENED, What.CONNECT_REFUSED, What.AHEAD, What.STALE, What.RESET)
+COUNTED = (What.OPENED, What.CONNECT_REFUSED, What.NOT_OPENED, What.AHEAD, What.STALE, What.RESET)
 FIGURES_MS = 60_000.0  # between the log lines that count what connections did
 LINGER_MS = 500.0  # what the last answers may take to leave
 
--- a/tests/faulty_sockets.py
+++ b/tests/faulty_sockets.py
@@ -1,13 +1,12 @@
 """Sockets whose system calls fail, or do a part of their work, as a test says.
 
-`Calls` are the faults of one kind of call, in the order in which they come: error numbers, or `None` for a call
-that does its work. Behind the last one all calls do it, unless `always` is set.
+`Calls` are the faults of one kind of call, in the order in which they come: error numbers, or `None` for a
+call that does its work. Behind the last one all calls do it, unless `always` is set.
 """
 
 import os
 import socket
 
-import pytest
 from twisted.internet import tcp
 
 SOCKET = socket.socket
@@ -66,7 +65,8 @@
 class Outgoing:
     """The sockets of the proxy's own connections, by the address that they lead to."""
 
-    def __init__(self):
+    def __init__(self, monkeypatch):
+        monkeypatch.setattr(tcp.Client, "createInternetSocket", lambda client: self.make(client))
         self.socket_calls = {}
         self.plan = {}  # address: attributes of its sockets
         self.made = {}
@@ -91,13 +91,6 @@
         return made
 
 
-@pytest.fixture
-def outgoing(monkeypatch):
-    sockets = Outgoing()
-    monkeypatch.setattr(tcp.Client, "createInternetSocket", lambda client: sockets.make(client))
-    return sockets
-
-
 class Listening:
     """A listening socket: `accept` fails as `calls` has it, and gives sockets with `accepted` calls."""
 
