Join the system calls that fail: ports that rest, connects that blame no server, steady reads and writes

A choice that never left is one outcome, NOT_SENT, whether its request was over or this machine at fault: it says nothing of the server.

--- a/cloverwell/facade.py
+++ b/cloverwell/facade.py
@@ -26,7 +26,7 @@
     NOT_CONNECTED = Status.CONNECT_FAILED
     RESET = Status.RESET
     CALLED_OFF = Status.CANCELLED
-    NOT_STARTED = Status.MOOT  # its request was over before the attempt could be made
+    NOT_SENT = Status.MOOT  # its request was over, or this machine at fault: it says nothing of the server
 
 
 NEVER_RAN = tuple(Outcome(status) for status in api.NEVER_RAN)
--- a/cloverwell/front/operators.py
+++ b/cloverwell/front/operators.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import Protocol as Connection
 from twisted.python.failure import Failure
 
+from cloverwell.codec.steady_socket import steady
 from cloverwell.log import Log
 from cloverwell.wheel import Timer, Wheel
 
@@ -49,8 +50,8 @@
     def may_accept(self) -> int:
         return CALLERS
 
-    def short_of_descriptors(self) -> None:
-        """They have some of their own; what else took them gives them back."""
+    def accept_failed(self, reason: str) -> None:
+        self._log.warn("operator", f"no caller could be let in for a moment: {reason}")
 
     def buildProtocol(self, addr: IPv4Address) -> Caller:
         while len(self.callers) >= CALLERS:
@@ -88,6 +89,7 @@
         self._timer: Timer | None = None
 
     def connectionMade(self) -> None:
+        steady(self.transport)
         wheel = self._side.wheel
         self._timer = wheel.at(wheel.now() + CALL_MS, self.close)
 
