Give each machine of the lab a wall clock, and let faults step it or make system calls fail

Cause: the lab knows one clock, which is monotonic, and calls that always succeed. A proxy whose timers hang on the wall clock, or that loses requests when a send or an accept fails, keeps every rule there.

Change: lab/wall_clock.py has the wall clocks of the machines; a node's start in the list and a proxy's epoch are read from them. lab/system_call_faults.py draws failing connects, accepts and sends, short reads and writes, and connections that break, by a generator of its own. lab/listener.py (taken out of net.py) lets what can't be accepted wait in the machine's queue, takes what waits before its socket is closed, and resets what is left. A close now leaves behind what the socket has not taken yet, as in Twisted. The judge is unchanged: it is told of starts by the virtual clock, as before.

Ruled out: an errno in the reason of a lost connection. Twisted's doRead and writeSomeData drop the error's number and give ConnectionLost alone; only the proxy's own send and peek see it.

--- a/lab/net.py
+++ b/lab/net.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,8 +22,9 @@
 from zope.interface import implementer
 
 from lab.clock import VirtualTime
+from lab.listener import Address, Listener
+from lab.system_call_faults import TURN_S, SystemCalls, calls_of
 
-Address = tuple[str, int]
 WINDOW = 256 * 1024  # bytes on the way or unread, beyond which a write is not taken whole
 
 
@@ -51,6 +53,7 @@
         self.dead_flow = False  # something in between has forgotten the flow: nothing passes any more
         self.disconnecting = False
         self.paused = False
+        self.error: OSError | None = None  # the connection is broken, and calls say so
         self.unread = bytearray()
         self._producer: tuple[Any, bool] | None = None
         self._arrival_s = 0.0  # of the last thing on its way: what follows comes no sooner
@@ -59,6 +62,11 @@
         self._pulling = False
         self._look: tuple[socket.socket, socket.socket] | None = None  # made at the first look, see `fileno`
 
+    @property
+    def _calls(self) -> SystemCalls:
+        """The system calls of the program that holds this end."""
+        return calls_of(self.owner)
+
     # Sending -----------------------------------------------------------------------------------
 
     def _deliver(self, call: Callable[[], None]) -> None:
@@ -72,10 +80,13 @@
         """The socket's own; raises as a socket does."""
         if self.closed or self.shut:
             raise BrokenPipeError
+        if self.error is not None:
+            raise self.error
         room = WINDOW - self._on_way
         if room <= 0:
             raise BlockingIOError
-        data = bytes(data[:room])
+        self._calls.raise_if_send_fails()
+        data = bytes(data[: self._calls.length(min(room, len(data)))])
         self._on_way += len(data)
         if not self.dead_flow:
             other = self.other
@@ -90,9 +101,16 @@
 
     def _push(self) -> None:
         while self._waiting and not self.closed:
+            piece = bytes(self._waiting[: 64 * 1024])
             try:
-                del self._waiting[: self.send(bytes(self._waiting[: 64 * 1024]))]
-            except OSError:
+                taken = self.send(piece)
+            except OSError as error:
+                if error.errno == errno.ENOBUFS:
+                    self.net.callLater(TURN_S, self._push)
+                return
+            del self._waiting[:taken]
+            if taken < len(piece) and self._on_way < WINDOW:  # a short write, and the socket has room
+                self.net.callLater(TURN_S, self._push)
                 return
         if self._producer is not None and not self._pulling and not self.closed:
             self._pulling = True
@@ -117,7 +135,10 @@
         if self.closed or self.paused or self.protocol is None:
             return
         if self.unread:
-            data, self.unread = bytes(self.unread), bytearray()
+            number = self._calls.length(len(self.unread))
+            data, self.unread = bytes(self.unread[:number]), self.unread[number:]
+            if self.unread:
+                self.net.callLater(TURN_S, self._read)
             self.other._taken(len(data))
             self.protocol.dataReceived(data)
         if self.eof and not self.unread and not self.closed:
@@ -137,6 +158,18 @@
             self._tell_look()
             self.close_with(ConnectionLost())
 
+    def turn_away(self) -> None:
+        """It is reset before any program has had it."""
+        self.closed = True
+        self._deliver(self.other.reset)
+
+    def break_with(self, error: OSError) -> None:
+        """The machine gives the connection up: calls fail from now on, the loop sees it in its next turn, and
+        the other side hears nothing."""
+        self.forget_flow()
+        self.error = error
+        self.net.callLater(0, self.close_with, ConnectionLost())
+
     def close_with(self, error: Exception) -> None:
         if self.closed:
             return
@@ -150,7 +183,14 @@
 
     def loseConnection(self) -> None:
         self.disconnecting = True
-        self.net.callLater(0, self.close_with, ConnectionDone())
+        self._close_behind()
+
+    def _close_behind(self) -> None:
+        """Closes when the last of what waits here has left."""
+        if self._waiting and not self.closed:
+            self.net.callLater(TURN_S, self._close_behind)
+        else:
+            self.net.callLater(0, self.close_with, ConnectionDone())
 
     def abortConnection(self) -> None:
         if not self.closed:
@@ -158,7 +198,10 @@
             self.net.callLater(0, self.close_with, ConnectionAborted())
 
     def loseWriteConnection(self) -> None:
-        self.shutdown(socket.SHUT_WR)
+        if self._waiting and not self.closed:
+            self.net.callLater(TURN_S, self.loseWriteConnection)
+        else:
+            self.shutdown(socket.SHUT_WR)
 
     def shutdown(self, how: int) -> None:
         if not self.shut and not self.closed:
@@ -204,6 +247,8 @@
 
     def recv(self, number: int, flags: int) -> bytes:
         """A peek, without waiting: the proxy asks for nothing else by itself."""
+        if self.error is not None:
+            raise self.error
         if self.unread:
             return bytes(self.unread[:number])
         if self.eof:
@@ -215,44 +260,6 @@
         self.dead_flow = self.other.dead_flow = True
 
 
-class Listener:
-    def __init__(self, net: Net, address: Address, factory: Any, owner: object = None) -> None:
-        self.net, self.address, self.factory, self.owner = net, address, factory, owner
-        self.paused = False
-        self.shares: list[Listener] = [self]  # of one socket, the latest last
-        self._queue: list[Callable[[Listener], None]] = []
-
-    def pauseProducing(self) -> None:
-        self.paused = True
-
-    def resumeProducing(self) -> None:
-        self.paused = False
-        queue = self._queue[:]
-        self._queue.clear()
-        for accept in queue:
-            self.accept(accept)
-
-    def accept(self, call: Callable[[Listener], None]) -> None:
-        taker = next((listener for listener in reversed(self.shares) if not listener.paused), None)
-        if taker is None:
-            self._queue.append(call)
-        else:
-            call(taker)
-
-    def share(self) -> Listener:
-        """As `port.BoundedPort`: what another process adopts."""
-        return self
-
-    def stopListening(self) -> None:
-        """The socket goes on listening while another process has it."""
-        if self in self.shares:
-            self.shares.remove(self)
-        if not self.shares:
-            self.net.listeners.pop(self.address, None)
-        elif self.net.listeners.get(self.address) is self:
-            self.net.listeners[self.address] = self.shares[-1]
-
-
 @implementer(IReactorTCP)
 class Net(VirtualTime):
     """The reactor of everything in the world."""
@@ -330,9 +337,9 @@
         near.other, far.other = far, near
         # The machine accepts by itself; the program takes the connection when it can.
         self.callLater(path.latency_s, self._established, near, factory)
-        listener.accept(lambda taker: self._accepted(taker, far))
+        listener.accept(far)
 
-    def _accepted(self, listener: Listener, far: End) -> None:
+    def accepted(self, listener: Listener, far: End) -> None:
         far.owner = listener.owner
         self._connect(far, listener.factory.buildProtocol(far.getPeer()))
 
@@ -341,8 +348,7 @@
 
     def _connect(self, end: End, protocol: Any) -> None:
         if protocol is None or (end.owner is not None and not end.owner.alive):
-            end.closed = True
-            end._deliver(end.other.reset)
+            end.turn_away()
             return
         end.protocol = protocol
         self.open += 1
@@ -352,6 +358,10 @@
         protocol.makeConnection(end)
         self.callLater(0, end._read)
 
+    def ends_of(self, owner: object) -> list[End]:
+        """The connections that the process has, in the order they came."""
+        return list(self._owned.get(owner, {}))
+
     def freed(self, end: End) -> None:
         self.open -= 1
         if end.owner is not None:
--- a/lab/node_play.py
+++ b/lab/node_play.py
@@ -39,7 +39,10 @@
     def receipt_of(self, name: str) -> str: ...
 
     def members(self) -> list[dict[str, Any]]:
-        """The list of servers, as discovery tells it."""
+        """The list of servers, with their starts by the virtual clock."""
+
+    def as_listed(self, rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        """As discovery tells them: each start is what the machine's wall clock showed then."""
 
     def proxy_of(self, web: Any) -> str:
         """The name of the proxy at the other end."""
--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -379,6 +379,7 @@
         for member in members:
             self.play.judge.told(self.now, self.play.proxy_of(web), member)
         listed = [member for member in members if after is not None or member["phase"] != "terminated"]
+        listed = self.play.as_listed(listed)
         answer = {"revision": self.revision, "complete": after is None, "members": listed}
         web.answer(200, json.dumps(answer))
 
--- a/lab/people.py
+++ b/lab/people.py
@@ -280,12 +280,21 @@
     def _leave(self, till: Till, name: str) -> None:
         if till.try_ is None or till.try_[0] != name or till.began_s is not None:
             return
-        (_, wish), till.try_ = till.try_, None
+        self._give_up(till)
+        till.transport.loseConnection()
+
+    def cut_off(self, till: Till) -> None:
+        """Its connection has broken."""
+        if till.try_ is not None:
+            self._give_up(till)
+        till.transport.abortConnection()
+
+    def _give_up(self, till: Till) -> None:
+        (name, wish), till.try_ = till.try_, None
         till.left = True
         self.play.judge.left(self.now, name)
         self.play.record("left", name)
         self._done(name, wish, LEFT)
-        till.transport.loseConnection()
 
     def _overdue(self, till: Till, name: str, wish: Wish) -> None:
         if till.try_ is not None and till.try_[0] == name:
--- a/lab/play.py
+++ b/lab/play.py
@@ -14,18 +14,20 @@
 from cloverwell.service import Service
 from lab.front_layer import Watch
 from lab.judge import RULES, Judge
+from lab.machine_faults import befall
 from lab.net import Address, Net
 from lab.nodes import CacheNode, Discovery, Origin
 from lab.people import People
 from lab.proxies import Inside, Left, Proxy
 from lab.server import Server
 from lab.settings import ORIGIN, proxy_settings
-from lab.world import ON_NODES, Class, Fault, World
+from lab.system_call_faults import SystemCalls
+from lab.wall_clock import EPOCH_S, WallClocks
+from lab.world import ON_MACHINES, ON_NODES, Class, Fault, World
 from olivestair.ring import Ring, point
 from olivestair.rings import TOKENS
 from olivestair.settings import read_settings
 
-EPOCH_S = 1_000_000.0  # Unix time when the virtual clock shows 0
 KILL_S = 4.0  # what a planned end may take
 
 
@@ -43,6 +45,8 @@
         self.mean_work_s = sum(c.share * sum(c.work_ms) / 2000.0 for c in world.traffic.classes)
         self.nodes: dict[str, CacheNode] = {}
         self.phases: dict[str, str] = {}
+        self.wall_clocks = WallClocks(self.net.seconds, seed)
+        self.listed_starts: dict[str, int] = {}  # node -> up_since_ms, as its wall clock showed it
         self._build()
 
     # What there is ------------------------------------------------------------------------------
@@ -62,14 +66,7 @@
         self.origin = Origin(self, ("10.1.255.1", 80), Server(origin.cores, 1.0, origin.room))
         self.discovery = Discovery(self, ("10.1.255.2", 8500))
         self.net.delay = self._delay
-        self.proxies = [
-            Proxy(
-                f"proxy-{number}",
-                (f"10.{1 + number % self.world.zones}.{100 + number // 250}.{number % 250 + 1}", 11211),
-                number % self.world.zones,
-            )
-            for number in range(self.world.proxies)
-        ]
+        self.proxies = [self._proxy(number) for number in range(self.world.proxies)]
         self._zone_of = {proxy.name: proxy.zone for proxy in self.proxies}
         for proxy in self.proxies:
             proxy.watch = Watch(self, proxy)
@@ -78,7 +75,13 @@
         self.people = [People(self, zone) for zone in range(self.world.zones)]
         self._warm()
         for fault in self.world.faults:
-            self.net.callLater(fault.at_s, self._happen, fault)
+            for at_s in fault.instants():
+                self.net.callLater(at_s, self._happen, fault)
+
+    def _proxy(self, number: int) -> Proxy:
+        name, zone = f"proxy-{number}", number % self.world.zones
+        address = (f"10.{1 + zone}.{100 + number // 250}.{number % 250 + 1}", 11211)
+        return Proxy(name, address, zone, self.wall_clocks.of(name), SystemCalls(name, self.seed))
 
     def _warm(self) -> None:
         """Nodes that run when the day begins hold what the ring has long asked them for."""
@@ -109,6 +112,7 @@
         return 0.0002 if same else self.world.zone_ms / 1000.0
 
     def members(self) -> list[dict[str, Any]]:
+        """The list of servers, with their starts by the virtual clock."""
         rows = []
         for name, node in self.nodes.items():
             kind = self.world.nodes.models[0].name
@@ -117,9 +121,13 @@
         rows.append(self._row(ORIGIN, self.origin.address, "zone-0", ORIGIN, 0))
         return rows
 
+    def as_listed(self, rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        """As discovery tells them: each start is what the machine's wall clock showed then."""
+        return [row | {"up_since_ms": self.listed_starts.get(row["id"], 0)} for row in rows]
+
     @staticmethod
     def _up_ms(node: CacheNode) -> int:
-        """When it started, as the list tells it; 0: before the day."""
+        """When it started, as the judge has it; 0: before the day."""
         return int(1000 * (node.server.born_s + EPOCH_S)) if node.server.born_s > 0 else 0
 
     @staticmethod
@@ -134,7 +142,7 @@
         proxy.draining = False
         inside = Inside(self, proxy)
         self.judge.starts_with(proxy.name, rows := self.members())
-        known = [Member(**row) for row in rows]
+        known = [Member(**row) for row in self.as_listed(rows)]
         number = self.proxies.index(proxy) if hasattr(self, "proxies") else 0
         config = Config(
             proxy.name, proxy.address, self.discovery.address, self.seed * 1000 + number * 10 + proxy.starts,
@@ -142,7 +150,7 @@
             read_settings(proxy_settings(self.world, number)),
         )  # fmt: skip
         now = self.net.now_ms
-        service = Service(inside, config, Log(now, proxy.log), now, -1000.0 * EPOCH_S, left)
+        service = Service(inside, config, Log(now, proxy.log), now, proxy.wall_clock.epoch_ms(), left)
         service.inside = inside
         proxy.service, proxy.old = service, proxy.service
         service.start(adopt=lambda _, listening, factory: self.net.adopt(listening, factory, inside))
@@ -241,7 +249,10 @@
         return sorted(self.rng.sample(all_names, max(1, round(fault.part * len(all_names)))))
 
     def _happen(self, fault: Fault) -> None:
-        names = sorted(self.nodes) if fault.kind in ON_NODES else [proxy.name for proxy in self.proxies]
+        proxies = [proxy.name for proxy in self.proxies]
+        names = sorted(self.nodes) if fault.kind in ON_NODES else proxies
+        if fault.kind == "clock_step":
+            names = sorted(self.nodes) + proxies
         later = self.net.callLater
         match fault.kind:
             case "hang" | "crash" | "drain":
@@ -257,6 +268,8 @@
                 for proxy in self.proxies:
                     if proxy.name in whom:
                         self._befall(proxy, fault)
+            case kind if kind in ON_MACHINES:
+                befall(self, fault, self._whom(fault, names) if fault.whom or fault.part else names)
             case "flush":
                 self.note("flush")
                 for node in self.nodes.values():
@@ -312,6 +325,7 @@
     def _return(self, node: CacheNode) -> None:
         node.keys.clear()
         node.server.born_s = self.net.seconds()
+        self.listed_starts[node.name] = int(1000 * self.wall_clocks.of(node.name).seconds())
         node.live()
         self._list_later(node, "in_service")
 
--- a/lab/proxies.py
+++ b/lab/proxies.py
@@ -6,8 +6,12 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from twisted.python.failure import Failure
+
 from cloverwell.service import Service
 from lab.net import Address, Net
+from lab.system_call_faults import SystemCalls
+from lab.wall_clock import WallClock
 
 
 class PlayForProxies(Protocol):
@@ -33,6 +37,8 @@
     name: str
     address: Address
     zone: int
+    wall_clock: WallClock  # of its machine, for all its processes
+    system_calls: SystemCalls
     log: io.StringIO = field(default_factory=io.StringIO)
     service: Service | None = None
     starts: int = 0
@@ -49,6 +55,8 @@
         self._net, self._play, self._proxy = play.net, play, proxy
         self.alive = True
         self.ends: list[Any] = []
+        self.wall_clock = proxy.wall_clock
+        self.system_calls = proxy.system_calls
 
     def seconds(self) -> float:
         return self._net.seconds()
@@ -61,6 +69,10 @@
             call(*args, **kw)
 
     def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30.0, bindAddress=None) -> None:
+        error = self.system_calls.connect_error()
+        if error is not None:
+            self.callLater(0, factory.clientConnectionFailed, None, Failure(error))
+            return
         self._net.connectTCP(host, port, factory, timeout, (self._proxy.address[0], self))
 
     def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
--- a/lab/world.py
+++ b/lab/world.py
@@ -33,11 +33,39 @@
     "origin_cut",
     "clients_leave",
     "burst",
+    "clock_step",
+    "connect_fails",
+    "accept_fails",
+    "send_fails",
+    "short_calls",
+    "connections_break",
+]
+ErrorName = Literal[
+    "EADDRNOTAVAIL",
+    "ECONNABORTED",
+    "EHOSTUNREACH",
+    "EMFILE",
+    "ENETUNREACH",
+    "ENFILE",
+    "ENOBUFS",
+    "ENOMEM",
+    "ETIMEDOUT",
 ]
 
 WORLDS = Path(__file__).parent / "worlds"
 ON_NODES = ("hang", "crash", "drain")
-ON_PROXIES = ("proxy_crash", "proxy_restart", "proxy_drain", "proxy_replace", "origin_cut")
+# Kinds of failing system calls, each with the errors that it may fail by.
+SYSTEM_CALLS: dict[str, tuple[ErrorName, ...]] = {
+    "connect_fails": ("ENOBUFS", "EADDRNOTAVAIL", "ENETUNREACH", "ENFILE", "EMFILE"),
+    "accept_fails": ("ECONNABORTED", "ENFILE", "ENOBUFS", "ENOMEM"),
+    "send_fails": ("ENOBUFS",),
+    "short_calls": (),
+    "connections_break": ("ETIMEDOUT", "EHOSTUNREACH"),
+}
+ON_MACHINES = ("clock_step", *SYSTEM_CALLS)
+ON_PROXIES = ("proxy_crash", "proxy_restart", "proxy_drain", "proxy_replace", "origin_cut", *SYSTEM_CALLS)
+MOST_STEP_S = 86_400.0  # of a wall clock
+MOST_REPEATS = 10_000  # of one fault
 
 
 class WorldError(Exception):
@@ -135,6 +163,19 @@
     whom: list[str] = []  # or these by name: node-3, proxy-0, zone-1
     size: Share = 0.2  # of the traffic (hot_key), of the keys (flush), of its speed left (origin_slow)
     times: Positive = 1.5  # the traffic (burst)
+    by_s: Annotated[float, Meta(ge=-MOST_STEP_S, le=MOST_STEP_S)] | None = None  # the step; none: drawn
+    every_s: NotNegative = 0.0  # in `for_s` it happens so often (clock_step, connections_break); 0: once
+    rate: Share = 0.0  # of the calls that fail, or of the connections that break
+    errors: list[ErrorName] = []  # that they fail by; none: all of its kind
+    most_bytes: Count = 1  # that a short read or write takes (short_calls)
+
+    def error_names(self) -> list[ErrorName]:
+        return self.errors or list(SYSTEM_CALLS[self.kind])
+
+    def instants(self) -> list[float]:
+        """When it happens, in s."""
+        repeats = int(self.for_s / self.every_s) if self.every_s else 0
+        return [self.at_s + repeat * self.every_s for repeat in range(repeats + 1)]
 
 
 class Rules(Struct, forbid_unknown_fields=True):
@@ -193,14 +234,22 @@
         proxies = {f"proxy-{number}" for number in range(world.proxies)}
         zones = {f"zone-{number}" for number in range(world.zones)} if fault.kind == "zone_lost" else set()
         allowed = nodes if fault.kind in ON_NODES else proxies if fault.kind in ON_PROXIES else zones
+        if fault.kind == "clock_step":
+            allowed = nodes | proxies
         for who in fault.whom:
             if who not in allowed:
                 kinds = f"node-0 to node-{world.nodes.count - 1}" if allowed is nodes else "see its kind"
                 raise WorldError(f"{where}.whom: {who!r} is not there; allowed: {kinds}")
-        if allowed and allowed is not zones and not (fault.whom or fault.part):
+        somebody = fault.kind in ON_NODES or fault.kind in ON_PROXIES
+        if somebody and not (fault.whom or fault.part):
             raise WorldError(f"{where}.part: must be over 0, or whom must name somebody")
         if fault.kind == "clients_leave" and not fault.part:
             raise WorldError(f"{where}.part: must be over 0")
+        _check_system_call(fault, where)
+        if fault.by_s == 0.0:
+            raise WorldError(f"{where}.by_s: must not be 0")
+        if fault.every_s and fault.for_s / fault.every_s > MOST_REPEATS:
+            raise WorldError(f"{where}.every_s: more than {MOST_REPEATS} repeats in for_s")
         if fault.kind == "origin_slow" and not fault.size:
             raise WorldError(f"{where}.size: must be over 0")
         if fault.at_s >= world.seconds:
@@ -212,3 +261,16 @@
         raise WorldError(f"{name}: traffic.classes.share: must sum to 1")
     if not 0.999 <= sum(tenant.share for tenant in world.traffic.tenants) <= 1.001:
         raise WorldError(f"{name}: traffic.tenants.share: must sum to 1")
+
+
+def _check_system_call(fault: Fault, where: str) -> None:
+    if fault.kind not in SYSTEM_CALLS:
+        return
+    if not fault.for_s and fault.kind != "connections_break":
+        raise WorldError(f"{where}.for_s: must be over 0")
+    if not fault.rate:
+        raise WorldError(f"{where}.rate: must be over 0")
+    allowed = SYSTEM_CALLS[fault.kind]
+    for name in fault.errors:
+        if name not in allowed:
+            raise WorldError(f"{where}.errors: {name} is none of {fault.kind}; allowed: {', '.join(allowed)}")
