--- a/lab/listener.py
+++ b/lab/listener.py
@@ -7,8 +7,9 @@
 from typing import Any, Protocol
 
 from cloverwell.front.port import MOST_TURNS
-from lab.system_call_faults import NO_SOCKET, TURN_S, calls_of
+from lab.system_call_faults import calls_of
 
+REST_S = 0.02  # of a port whose accept has failed for want of something: who connects waits in the queue
 Address = tuple[str, int]
 
 
@@ -38,7 +39,7 @@
         self.paused = False
         self.shares: list[Listener] = [self]  # of one socket, the latest last
         self._queue: list[FarEnd] = []  # connections that wait to be accepted
-        self._retries = False  # an accept that failed is tried again in the loop's next turn
+        self._retries = False  # an accept that failed is tried again after the rest
 
     def pauseProducing(self) -> None:
         self.paused = True
@@ -68,13 +69,11 @@
                 self.net.accepted(taker, far)
             case errno.ECONNABORTED:
                 far.turn_away()
-            case number:
+            case _:  # the proxy's port rests for a moment
                 self._queue.append(far)
-                if number in NO_SOCKET:  # the proxy's port rests for want of a descriptor
-                    taker.factory.short_of_descriptors()
                 if not self._retries:
                     self._retries = True
-                    self.net.callLater(TURN_S, self._retry)
+                    self.net.callLater(REST_S, self._retry)
 
     def share(self) -> Listener:
         """As `port.BoundedPort`: what another process adopts."""
--- a/lab/system_call_faults.py
+++ b/lab/system_call_faults.py
@@ -64,8 +64,9 @@
         numbers = [one for one in failing.error_numbers if not (waited and one == errno.ECONNABORTED)]
         return self._rng.choice(numbers) if numbers else None
 
-    def raise_if_send_fails(self) -> None:
-        number = self._error_number("send_fails")
+    def raise_if_fails(self, kind: str) -> None:
+        """`kind`: the fault that the send or receive which is made now may meet."""
+        number = self._error_number(kind)
         if number is not None:
             raise OSError(number, os.strerror(number))
 
--- a/lab/world.py
+++ b/lab/world.py
@@ -37,6 +37,7 @@
     "connect_fails",
     "accept_fails",
     "send_fails",
+    "receive_fails",
     "short_calls",
     "connections_break",
 ]
@@ -58,7 +59,8 @@
 SYSTEM_CALLS: dict[str, tuple[ErrorName, ...]] = {
     "connect_fails": ("ENOBUFS", "EADDRNOTAVAIL", "ENETUNREACH", "ENFILE", "EMFILE"),
     "accept_fails": ("ECONNABORTED", "ENFILE", "ENOBUFS", "ENOMEM"),
-    "send_fails": ("ENOBUFS",),
+    "send_fails": ("ENOBUFS", "ENOMEM"),
+    "receive_fails": ("ENOBUFS", "ENOMEM"),
     "short_calls": (),
     "connections_break": ("ETIMEDOUT", "EHOSTUNREACH"),
 }
