--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -16,6 +16,8 @@
 from cloverwell.connections.arrival import Arrival
 from cloverwell.flow import Flow, Stage
 from cloverwell.front.connection_owner import ConnectionOwner
+from cloverwell.front.meta_answers import BUSY, DRAINING, FAILED, SERVING, encode_answer
+from cloverwell.front.turn import Turn
 from cloverwell.request import Answer, Refused, Request, Served
 from cloverwell.wheel import HELD_UP_MS
 
@@ -26,20 +28,6 @@
 FIRST_REQUEST_MS = 250.0  # what a new connection's first request may take to come, when this process empties
 PASS_PAUSE_MS = 5.0  # nor behind each piece of what is thrown away once framing is lost
 FLOW_PIECE = 32 * 1024  # of what goes out: the transport holds so much while its client does not read
-FAILED = b"SERVER_ERROR failed\r\n"
-BUSY = b"SERVER_ERROR busy\r\n"
-NOT_WANTED = b"SERVER_ERROR draining\r\n"
-
-
-class Turn:
-    """One command's place in the order of answers."""
-
-    __slots__ = ("data", "flow", "request")
-
-    def __init__(self, data: bytes | None = None) -> None:
-        self.data = data
-        self.request: Request | None = None
-        self.flow: Flow | None = None  # behind `data`
 
 
 class ClientConnection(RingLineReceiver):
@@ -153,7 +141,7 @@
             case "mn" if len(words) == 1:
                 self._errors = 0
                 self._side.busy(self)
-                self._say(b"MN\r\n" if self._side.serving.wanted else NOT_WANTED)
+                self._say(SERVING if self._side.serving.wanted else DRAINING)
             case "mg":
                 self._read(words)
             case "ms":
@@ -225,25 +213,12 @@
 
     def _give(self, turn: Turn, request: Request, answer: Answer) -> None:
         turn.request = None  # each knows the other: a cycle for every request is work for the collector
-        turn.data = self._words(request, answer)
+        turn.data = encode_answer(request, answer)
         if isinstance(answer, Served) and isinstance(answer.body, Flow):
             turn.flow = answer.body
             turn.flow.wanted = True
         self._flush()
 
-    def _words(self, request: Request, answer: Answer) -> bytes:
-        match answer:
-            case Served(Flow() as flow):
-                return f"VA {flow.length} O{request.id}\r\n".encode()
-            case Served(body) if request.write:
-                return b"HD O" + request.id.encode() + b" c" + body + b"\r\n"
-            case Served(body):
-                return f"VA {len(body)} O{request.id}\r\n".encode() + body + b"\r\n"
-            case Refused(retry_after_ms):
-                wait = f" {round(retry_after_ms)}" if retry_after_ms >= 1 else ""
-                return f"SERVER_ERROR busy{wait}\r\n".encode()
-        return FAILED
-
     def _take(self, turn: Turn) -> None:
         self._errors = 0
         # `d` counts from its first byte, which may have lain unread, or come long before a slow last one.
--- a/tests/fleet_clients.py
+++ b/tests/fleet_clients.py
@@ -13,6 +13,7 @@
 
 from lab.judge import Case, Judge
 
+KINDS = {"key": 5, "hang": 3, "miss": 1, "slow": 1}  # how often each is asked for
 EFFECTS = {"page": "retryable", "adjust": "dedup", "order": "fragile"}
 WINDOW_S = 1.5  # of `adjust`
 LATE_S = 3.0  # what is not answered so long after its time is lost, on the busiest machine
@@ -57,6 +58,7 @@
         self._judge = judge
         self._random = random.Random(seed)
         self._going = True
+        self.kinds = KINDS
         self._tasks: list[asyncio.Task] = []
         self.asked = self.served = 0
         self.lost: list[str] = []  # names of requests that got no answer
@@ -74,7 +76,7 @@
         await asyncio.gather(*self._tasks)
 
     def _draw(self) -> Request:
-        kind = self._random.choices(["key", "hang", "miss", "slow"], [5, 3, 1, 1])[0]
+        kind = self._random.choices(list(self.kinds), list(self.kinds.values()))[0]
         class_name = self._random.choices(list(EFFECTS), [8, 1, 1])[0]
         return Request(f"r{next(_numbers)}", kind, class_name, self._random.randrange(300, 900))
 
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -159,10 +159,8 @@
     async def start(self, nodes: int, before: Sequence[float]) -> None:
         """`before`: for each proxy the step of its wall clock before it starts."""
         await self.origin.start()
-        for number in range(nodes):
-            node = CacheNode(f"s{number}", self.judge)
-            await node.start()
-            self.nodes.append(node)
+        for _ in range(nodes):
+            await self.add_node()
         for number, step_s in enumerate(before):
             proxy = RealProxy(self, number)
             self.proxies.append(proxy)
@@ -174,6 +172,13 @@
             await proxy.ready()
             await until(partial(proxy.clock.seen, step_s), "the step is not seen")
 
+    async def add_node(self) -> CacheNode:
+        """Serves, and is on no list yet."""
+        node = CacheNode(f"s{len(self.nodes)}", self.judge)
+        await node.start()
+        self.nodes.append(node)
+        return node
+
     async def step(self, steps: Sequence[float]) -> None:
         """Steps the clock of each proxy, all at once, and waits until each sees its own."""
         totals = [proxy.clock.step(by_s) for proxy, by_s in zip(self.proxies, steps, strict=True)]
