--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -109,6 +109,15 @@
     assert summary["coldest_load"] < 0.95 and summary["service"] > 0.8, summary["ends"]
 
 
+def test_a_zone_that_comes_back_after_its_clock_was_stepped_back_is_not_pushed_over(monkeypatch):
+    """Seen: told as an hour old, its nodes were taken for warm, and seven of them fell."""
+    up_ms = Play._up_ms
+    monkeypatch.setattr(Play, "_up_ms", staticmethod(lambda node: max(0, up_ms(node) - 3_600_000)))
+    summary = Play(load("throng"), 1).run()
+    assert not any(summary["rules"].values()), summary["breaches"]
+    assert summary["service"] > 0.8, summary["ends"]
+
+
 @pytest.mark.parametrize("seed", [1, 3])
 def test_the_judge_catches_a_fleet_whose_cold_nodes_get_what_the_others_leave(monkeypatch, seed):
     monkeypatch.setattr(decide, "COLD_SPILL", 1 << 30)
