Let a slow reader have the rest of its answer behind the close of our side

Cause: a connection is let go between requests once all that is owed has been handed to the machine, and is aborted a second later (100 ms where descriptors are short) if its client has not closed. Of a long value the machine may hold megabytes for a client that reads slowly; the abort threw them away. Seen: a value of 3 MB, the process drained when the last byte had left it, and the client, reading 2 s later, got a reset in the middle of its answer. The same holds for a planned end that other requests keep waiting.

Examined: a process that ends closes without an abort, and the machine goes on sending (the whole value came).

Change: such a connection is aborted only once the other side has acknowledged all (TIOCOUTQ), or 10 s after the close, as for any answer that is not read. Where the machine does not tell, all is as before.

Lines: ClientConnections._close (Reason.LINGER) and _still_reads; codec/lines.py, unsent.

--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -1,7 +1,10 @@
 """Twisted's LineReceiver over ring buffers: one for what comes in and one for what goes out."""
 
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections.abc import Iterable
 
 from twisted.internet.interfaces import IPullProducer
@@ -35,6 +38,15 @@
     return bool(poll.poll(0))
 
 
+def unsent(handle: socket.socket | int) -> int:
+    """Bytes that the machine has taken and the other side has not acknowledged; 0 where nothing tells."""
+    try:
+        told = fcntl.ioctl(handle, termios.TIOCOUTQ, struct.pack("i", 0))
+    except (OSError, ValueError):
+        return 0
+    return struct.unpack("i", told)[0]
+
+
 class FramingError(Exception):
     """What has come can't be cut into messages any more."""
 
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -60,7 +60,7 @@
         self._begun = False  # a command has begun and is not whole
         self._flow: Flow | None = None  # the long value that is on its way out
         self._arrival = Arrival()
-        self._made_ms = side.wheel.now()
+        self._made_ms = self.shut_ms = side.wheel.now()  # when our side was closed
 
     def waited(self, since_ms: float) -> None:
         """It waited to be accepted: what it has sent may have come since then."""
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -6,7 +6,7 @@
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory
 
-from cloverwell.codec.lines import hung_up, readable
+from cloverwell.codec.lines import hung_up, readable, unsent
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.budget import Budget, Side
 from cloverwell.connections.figures import Figures, What
@@ -25,6 +25,8 @@
 # client's close is known within half of the 100 ms after which nothing may begin for it.
 CLIENT_LOOK_MS = 25.0
 BURST_MS = 5.0  # a close seldom comes alone: the others are looked at with it, but no more often than that
+# What a client may take to read what has left for it, behind our close: an abort would throw that away.
+LAST_READ_MS = 10_000.0
 BUSY_MS = 1000.0  # how long a client should keep away from a proxy that is short of descriptors
 
 
@@ -174,7 +176,8 @@
 
     def closing(self, connection: ClientConnection) -> None:
         """Our side is closed: the descriptor must come free though the client never closes."""
-        self.front.closing(connection, self.wheel.now())
+        connection.shut_ms = self.wheel.now()
+        self.front.closing(connection, connection.shut_ms)
 
     # Who has left -----------------------------------------------------------------------------
 
@@ -230,7 +233,10 @@
             if not wanted:
                 return
             connection = close.guest
-            if close.reason is Reason.LINGER:
+            if close.reason is Reason.LINGER and self._still_reads(connection):
+                done = False
+                self.front.spare(connection, self.wheel.now())
+            elif close.reason is Reason.LINGER:
                 done = True
                 connection.transport.abortConnection()
             elif close.reason is Reason.IDLE and connection.unread:
@@ -247,6 +253,11 @@
             else:
                 self._figures.add(What.SPARED)
 
+    def _still_reads(self, connection: ClientConnection) -> bool:
+        """Our side is closed, and its client has not had all that left before that."""
+        lasts = self.wheel.now() - connection.shut_ms < LAST_READ_MS
+        return lasts and unsent(connection.fileno()) > 1  # the close itself counts as one
+
     def lend(self) -> None:
         """The nodes' side wants a descriptor that is held here beyond the floor."""
         if self._budget.lender(Side.BACK):
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -321,3 +321,37 @@
     for connection in made:
         handle = connection.transport.getHandle()
         assert handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+# A client that reads slowly ------------------------------------------------------------------------
+
+
+VALUE = b"v" * 3_000_000
+
+
+def test_a_slow_reader_has_all_of_its_answer_though_the_process_is_emptied_meanwhile(rig):
+    proxy = rig()
+    proxy.client(write(9, 30_000))  # keeps the process from its end
+    conn = proxy.client()
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+    conn.sendall(read(1))
+    node = proxy.nodes[0].take()
+    proxy.got(node, b"mg k1 ")
+    answer = memoryview(b"VA %d O1\r\n" % len(VALUE) + VALUE + b"\r\n")
+    got = bytearray()
+    side = proxy.service.side
+
+    def pass_on():
+        nonlocal answer
+        with contextlib.suppress(BlockingIOError):
+            answer = answer[node.send(answer) :] if answer else answer
+        with contextlib.suppress(BlockingIOError):
+            got.extend(conn.recv(10_000))
+        return not (answer or side.flows)
+
+    proxy.until(pass_on)
+    proxy.service.drain()  # all has left for the machine, and the connection is let go
+    proxy.skip(2000)
+    assert len(got) < len(VALUE)
+    rest = proxy.ended(conn)
+    assert rest.endswith(b"v\r\nEND") and len(got) + len(rest) > len(VALUE)
