--- a/tests/test_control_file_storage.py
+++ b/tests/test_control_file_storage.py
@@ -8,7 +8,8 @@
 
 from cloverwell.control.entry import START, Entry, LogState, Snapshot
 from cloverwell.control.server import file_storage
-from cloverwell.control.server.file_storage import FILE_NAME, HEADER, FileStorage
+from cloverwell.control.server.file_storage import FILE_NAME, FileStorage
+from cloverwell.control.server.records import HEADER
 from cloverwell.control.storage import StorageError, StoredState, Write
 
 
