Write log lines without waiting, and keep the exit code where the last line can't be written

Cause: a log line was printed through Python's buffered standard error. A pipe whose reader stands still held the whole process up at a line, the data path with it. A start that is refused ended with 1 and not with 2 where its line found no space.

Change: LineStream asks whether the descriptor is ready (poll without waiting), writes in pieces of PIPE_BUF and leaves out what is not taken; the next line that gets through tells how many were lost. Without a standard error nothing is written, since its number may be a connection's. O_NONBLOCK was ruled out: it would hold for whoever shares the pipe.

--- a/cloverwell/__main__.py
+++ b/cloverwell/__main__.py
@@ -17,6 +17,7 @@
 from cloverwell.handover.messages import place
 from cloverwell.handover.successor import ask
 from cloverwell.log import Log
+from cloverwell.log_stream import say_last
 from cloverwell.service import Service
 from cloverwell.wheel import monotonic_ms
 
@@ -45,7 +46,7 @@
     try:
         config: Config = read_config()
     except ConfigError as error:
-        print(f"cloverwell: {error}".replace("\n", " "), file=sys.stderr)
+        say_last(f"cloverwell: {error}")
         return 2
     config.limits.sockets = min(config.limits.sockets, raise_descriptors(config.limits.sockets))
     log = Log(monotonic_ms)
@@ -61,7 +62,7 @@
         service.start(listen, adopt, folder)
     except CannotListenError as error:
         field = "operator" if (error.interface, error.port) == config.operator else "listen"
-        print(f"cloverwell: {field}: {error}".replace("\n", " "), file=sys.stderr)
+        say_last(f"cloverwell: {field}: {error}")
         return 2
     collect_garbage()
     reactor.run(installSignalHandlers=False)
--- a/cloverwell/log.py
+++ b/cloverwell/log.py
@@ -1,19 +1,22 @@
 """The proxy's log on standard error: one line an event, and not too many of a kind."""
 
 import contextlib
-import sys
 from collections.abc import Callable
 from typing import TextIO
 
 from twisted.logger import LogEvent, LogLevel, formatEvent
 
+from cloverwell.log_stream import standard_error
+
 PER_SECOND = 5  # lines of one kind: an outage repeats itself thousands of times a second
 
 
 class Log:
     def __init__(self, now: Callable[[], float], stream: TextIO | None = None) -> None:
+        """`stream`: in place of standard error."""
         self._now = now
-        self._stream = stream or sys.stderr
+        self._stream = stream
+        self._standard_error = standard_error() if stream is None else None
         self._kinds: dict[str, tuple[float, int]] = {}  # kind -> second's start, lines since
 
     def info(self, kind: str, text: str) -> None:
@@ -41,6 +44,10 @@
             self._line(level, kind, text)
 
     def _line(self, level: str, kind: str, text: str) -> None:
-        # Whoever reads the log may go away: that must not end the proxy.
-        with contextlib.suppress(OSError, ValueError):
-            print(f"{self._now():.0f} {level} {kind}: {text}", file=self._stream, flush=True)
+        # Whoever reads the log may go away or stand still, or its disk be full: the proxy goes on without it.
+        line = f"{self._now():.0f} {level} {kind}: {text}"
+        if self._standard_error is not None:
+            self._standard_error.write_line(line)
+        elif self._stream is not None:
+            with contextlib.suppress(OSError, ValueError):
+                print(line, file=self._stream, flush=True)
--- /dev/null
+++ b/tests/test_log_stream.py
@@ -0,0 +1,78 @@
+"""The log's descriptor is full, closed or stands still: the program goes on, and ends as it would have."""
+
+import os
+import subprocess
+import sys
+
+import pytest
+
+from cloverwell.log_stream import LineStream, standard_error
+
+FULL = "/dev/full"  # each write is ENOSPC
+PATIENCE_S = 30
+
+
+def run(code, **streams):
+    environ = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
+    command = [sys.executable, *code]
+    return subprocess.run(command, env=environ, timeout=PATIENCE_S, **streams).returncode
+
+
+def test_a_start_without_a_configuration_ends_with_2_where_its_line_finds_no_space():
+    with open(FULL, "w") as full:
+        assert run(["-m", "cloverwell"], stderr=full) == 2
+
+
+def test_a_program_whose_log_finds_no_space_ends_with_its_own_code():
+    code = "import sys; from cloverwell.log import Log; Log(lambda: 0.0).warn('a', 'b'); sys.exit(0)"
+    with open(FULL, "w") as full:
+        assert run(["-c", code], stderr=full) == 0
+
+
+def test_a_log_whose_reader_stands_still_holds_nobody_up():
+    # More lines than a pipe holds, and nobody reads: the program must end all the same.
+    code = (
+        "from cloverwell.log import Log\n"
+        "log = Log(lambda: 0.0)\n"
+        "for number in range(400):\n"
+        "    log.warn(f'kind {number}', 'x' * 1000)\n"
+    )
+    reader, writer = os.pipe()
+    try:
+        assert run(["-c", code], stderr=writer) == 0
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+def test_lines_that_were_lost_are_counted_and_the_next_begins_on_its_own():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    stream = LineStream(writer)
+    for _ in range(40):
+        stream.write_line("x" * 3000)
+    first = b""
+    while piece := _read(reader):
+        first += piece
+    stream.write_line("after")
+    told = _read(reader).decode()
+    whole = first.count(b"\n")
+    assert 0 < whole < 40
+    assert told.lstrip("\n") == f"log: {40 - whole} lines were lost before this one\nafter\n"
+    assert told.startswith("\n") == (not first.endswith(b"\n"))
+    os.close(reader)
+    stream.write_line("nobody reads")  # EPIPE
+    os.close(writer)
+
+
+def _read(reader):
+    try:
+        return os.read(reader, 1 << 20)
+    except BlockingIOError:
+        return b""
+
+
+@pytest.mark.parametrize("broken", [None, object()])
+def test_without_a_standard_error_nothing_is_written(monkeypatch, broken):
+    monkeypatch.setattr(sys, "stderr", broken)
+    assert standard_error() is None
