Serve on where the handover's socket or its folder can't be opened at all

Cause: a socket that could not be made (EMFILE), or the folder of a path too long for an address that could not be opened (EIO, EACCES, ENOSPC), was raised out of the start and out of the return of a lost successor.

--- a/cloverwell/handover/predecessor.py
+++ b/cloverwell/handover/predecessor.py
@@ -61,9 +61,9 @@
 
     def open(self) -> None:
         """Without it a successor takes the address by SO_REUSEPORT."""
-        clear(self._path)
         old = os.umask(0o177)
         try:
+            clear(self._path)
             with short(self._path) as name:
                 port = _Port(name, self, CALLERS, 0o600, reactor=self._reactor)
                 port.startListening()
--- a/cloverwell/handover/successor.py
+++ b/cloverwell/handover/successor.py
@@ -66,9 +66,10 @@
 
 def ask(path: str, listen: tuple[str, int], log: Log, wait_s: float = WAIT_S) -> Predecessor | None:
     """Blocks for `wait_s` at the most. None: nobody is there, or nobody that can be understood."""
-    own = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    own: socket.socket | None = None
     held: list[int] = []
     try:
+        own = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         own.settimeout(wait_s)
         with short(path) as name:
             try:
@@ -90,7 +91,8 @@
                 raise HandoverError("the socket that came does not listen at our address")
     except (OSError, HandoverError) as error:
         log.warn("handover", f"nothing is taken over: {error}".replace("\n", " "))
-        own.close()
+        if own is not None:
+            own.close()
         for fd in held:
             os.close(fd)
         return None
