--- a/cloverwell/control/server/node_server.py
+++ b/cloverwell/control/server/node_server.py
@@ -143,7 +143,7 @@
             for effect in event(*arguments, self._now()):
                 self._carry_out(effect)
         except StorageError as error:
-            self._log.warn("storage", f"this node stops: {error}")
+            self._log.warn("storage", f"this node stops: {error}; start it again once the disk is sound")
             self.failed = True
             self.stop()
             return
--- a/tests/test_control_node_server.py
+++ b/tests/test_control_node_server.py
@@ -1,10 +1,13 @@
 """A control node in service: the order of its effects, and its end where the disk fails."""
 
-from pathlib import Path
+import errno
+from pathlib import Path, PurePosixPath
 from random import Random
 
 import pytest
 from control_net_rig import Lines, Reactor, Transport, frame
+from failing_files import Disk as FailingDisk
+from failing_files import Effect, Fault
 
 from cloverwell.control.entry import START
 from cloverwell.control.messages import (
@@ -20,6 +23,8 @@
     VoteAnswer,
 )
 from cloverwell.control.net.wire import PeerHello, StatusAnswer, StatusRequest
+from cloverwell.control.server import file_storage
+from cloverwell.control.server.file_storage import FileStorage
 from cloverwell.control.server.node_server import NodeServer
 from cloverwell.control.server.settings import NodeSettings
 from cloverwell.control.storage import MemoryStorage, StorageError
@@ -48,9 +53,9 @@
 class Played:
     """One of three nodes; `order` has its writes and what it sent to the others, as they came."""
 
-    def __init__(self, nodes="abc"):
+    def __init__(self, nodes="abc", storage=None):
         self.order, self.reactor, self.lines = [], Reactor(), Lines()
-        self.disk = Disk(self.order)
+        self.disk = storage or Disk(self.order)
         settings = NodeSettings(
             "a", "fleet", ADDRESSES["a"], Path("data"), {n: ADDRESSES[n] for n in nodes}, {}
         )
@@ -194,3 +199,31 @@
     played.pass_time(Timing().election_max_ms + 100)
     assert played.server.node.consensus.leader == "a"
     assert "info leader: a leads, term 1" in played.lines.lines
+
+
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO])
+@pytest.mark.parametrize("effect", Effect)
+@pytest.mark.parametrize("call", ["write", "fdatasync"])
+def test_a_node_whose_disk_fails_gives_no_vote_and_one_that_starts_again_knows_what_it_promised(
+    monkeypatch, call, effect, number
+):
+    disk, folder = FailingDisk(), PurePosixPath("/data")
+    monkeypatch.setattr(file_storage, "os", disk)
+    monkeypatch.setattr(file_storage, "fcntl", disk)
+    played = Played(storage=FileStorage(folder))
+    played.tell("c", RequestVote(9, "c", 99, 9))
+    assert [message.granted for _, message in played.sent(VoteAnswer)] == [True]
+    disk.fault = Fault(len(disk.calls) + (call == "fdatasync"), number, effect)
+    played.tell("b", RequestVote(10, "b", 99, 9))
+    assert disk.calls[disk.fault.call] == call
+    assert len(played.sent(VoteAnswer)) == 1  # nothing about the term that it could not make durable
+    assert played.server.failed and played.reactor.stopped
+    (line,) = [line for line in played.lines.lines if line.startswith("warn storage")]
+    assert "/data/control.log" in line and "start it again once the disk is sound" in line
+    played.tell("b", RequestVote(11, "b", 99, 9))
+    assert len(played.sent(VoteAnswer)) == 1
+    disk.restart()
+    again = Played(storage=FileStorage(folder))
+    assert again.server.node.consensus.term >= 9
+    again.tell("b", RequestVote(9, "b", 99, 9))
+    assert not any(message.granted for _, message in again.sent(VoteAnswer))
