--- a/tests/test_accept_errors.py
+++ b/tests/test_accept_errors.py
@@ -32,8 +32,6 @@
     def accept_failed(self, reason=""):
         self.failures.append(reason)
 
-    short_of_descriptors = accept_failed
-
     def buildProtocol(self, addr):
         self.let_in.append(addr)
         return Protocol()
