Keep each start's wall time in the lab, also for a list that is older than the node's last start

Cause: a proxy that starts with an old list was told the node's last start for an earlier one; and lab/list_fleet.py, which is another play before the same discovery, had no as_listed: tests/test_told_change.py failed with AttributeError.

Change: a start by the virtual clock has its wall time; a row keeps its own start where no step is known for it. ListFleet gives its rows as they are.

Seen: tests/test_told_change.py and test_list_retry.py 29 passed, test_lab_clock_steps.py 12 passed, test_restarts.py 12 passed.

--- a/lab/list_fleet.py
+++ b/lab/list_fleet.py
@@ -127,6 +127,10 @@
     def members(self) -> list[dict[str, Any]]:
         return self.rows
 
+    def as_listed(self, rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        """As `members`: no node of it has a wall clock of its own."""
+        return rows
+
     def proxy_of(self, web: Web) -> str:
         return web.transport.getPeer().host
 
--- a/lab/play.py
+++ b/lab/play.py
@@ -46,7 +46,8 @@
         self.nodes: dict[str, CacheNode] = {}
         self.phases: dict[str, str] = {}
         self.wall_clocks = WallClocks(self.net.seconds, seed)
-        self.listed_starts: dict[str, int] = {}  # node -> up_since_ms, as its wall clock showed it
+        # Of a node's name and start by the virtual clock: what its wall clock showed then, in ms.
+        self.wall_starts: dict[tuple[str, int], int] = {}
         self._build()
 
     # What there is ------------------------------------------------------------------------------
@@ -123,7 +124,11 @@
 
     def as_listed(self, rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
         """As discovery tells them: each start is what the machine's wall clock showed then."""
-        return [row | {"up_since_ms": self.listed_starts.get(row["id"], 0)} for row in rows]
+        listed = []
+        for row in rows:
+            start_ms = row["up_since_ms"]
+            listed.append(row | {"up_since_ms": self.wall_starts.get((row["id"], start_ms), start_ms)})
+        return listed
 
     @staticmethod
     def _up_ms(node: CacheNode) -> int:
@@ -325,7 +330,8 @@
     def _return(self, node: CacheNode) -> None:
         node.keys.clear()
         node.server.born_s = self.net.seconds()
-        self.listed_starts[node.name] = int(1000 * self.wall_clocks.of(node.name).seconds())
+        wall_ms = int(1000 * self.wall_clocks.of(node.name).seconds())
+        self.wall_starts[node.name, self._up_ms(node)] = wall_ms
         node.live()
         self._list_later(node, "in_service")
 
