Judge the stepped fleets by when events came to the test, and fail on a stand-in's own fault

On the joined tree test_while_another_process_takes_over failed in one of two runs of the file, at a load of about 12: 15 x told, 36 x answered, no request lost; the five that were printed came within 1 ms of each other. That fits a hold-up of the test's own loop, which had just started four processes, of about 1.1 s (not measured then; a stall of the machine would look the same): what lay in its sockets was taken for having come when it was read. The moments of arrivals and answers are now the earliest at which they may have come (event_time.py); the bounds stay.

A stand-in's exception was swallowed with its connection, so a rule could go unlooked at (seen while this was written: a missing import in discovery's stand-in, and the drain rule passed). It fails the test now.

--- a/tests/fleet_clients.py
+++ b/tests/fleet_clients.py
@@ -9,6 +9,7 @@
 import time
 from dataclasses import dataclass
 
+from event_time import EventTime
 from fleet_nodes import receipt_for, value_for
 
 from lab.judge import Case, Judge
@@ -52,10 +53,13 @@
 class Clients:
     """Steady load on one proxy until `stop`; each of them has one request out at a time."""
 
-    def __init__(self, proxy: str, address: tuple[str, int], judge: Judge, seed: int) -> None:
+    def __init__(
+        self, proxy: str, address: tuple[str, int], judge: Judge, event_time: EventTime, seed: int
+    ) -> None:
         self._proxy = proxy
         self._address = address
         self._judge = judge
+        self._event_time = event_time
         self._random = random.Random(seed)
         self._going = True
         self.kinds = KINDS
@@ -134,7 +138,7 @@
         self.served += served
         how = "served" if served else "refused" if refused else "failed"
         right = answer == request.right if served else answer.startswith(b"SERVER_ERROR")
-        self._judge.answered(time.monotonic(), request.name, how, right)
+        self._judge.answered(self._event_time.came_s(), request.name, how, right)
 
     def _is_lost(self, request: Request, why: str) -> bool:
         if self.ending and why != NEVER and not self._judge.cases[request.name].attempts:
--- a/tests/fleet_nodes.py
+++ b/tests/fleet_nodes.py
@@ -13,10 +13,11 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
+from event_time import EventTime
+
 from lab.judge import Judge
 
 SLOW_S = 0.15
-HEARTBEAT_S = 0.01
 
 
 def value_for(name: str) -> bytes:
@@ -38,8 +39,12 @@
 class StandIn:
     """A server of this world; its connections end with it."""
 
-    def __init__(self) -> None:
+    def __init__(self, event_time: EventTime) -> None:
+        self.event_time = event_time
         self.address = ("", 0)
+        self.faults: list[
+            Exception
+        ] = []  # what nothing expected: a rule that was not looked at may be broken
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -52,6 +57,8 @@
         try:
             with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
                 await self.serve(reader, writer)
+        except Exception as error:
+            self.faults.append(error)
         finally:
             self._tasks.discard(asyncio.current_task())
             writer.close()
@@ -70,8 +77,8 @@
 class CacheNode(StandIn):
     """Reads alone come here: writes are the origin's."""
 
-    def __init__(self, name: str, judge: Judge) -> None:
-        super().__init__()
+    def __init__(self, name: str, judge: Judge, event_time: EventTime) -> None:
+        super().__init__(event_time)
         self.name = name
         self.attempts = 0
         self.arrived: Callable[[str], None] = lambda request: None
@@ -84,7 +91,7 @@
             name = next(word[1:] for word in words if word.startswith("O"))
             info = next(word[1:] for word in words if word.startswith("P"))
             self.attempts += 1
-            self._judge.attempt(time.monotonic(), name, self.name, told_ms(info))
+            self._judge.attempt(self.event_time.came_s(), name, self.name, told_ms(info))
             self.arrived(name)
             await self._answer(writer, key, name)
 
@@ -107,8 +114,8 @@
 
     name = "origin"
 
-    def __init__(self, judge: Judge) -> None:
-        super().__init__()
+    def __init__(self, judge: Judge, event_time: EventTime) -> None:
+        super().__init__(event_time)
         self._judge = judge
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -116,7 +123,7 @@
             method, target, headers = await read_head(reader)
             await reader.readexactly(int(headers.get("content-length", 0)))
             name = headers["request-id"]
-            self._judge.attempt(time.monotonic(), name, self.name, told_ms(headers["request-info"]))
+            self._judge.attempt(self.event_time.came_s(), name, self.name, told_ms(headers["request-info"]))
             if target.startswith("/hang"):
                 continue
             body = receipt_for(name) if method == "PUT" else value_for(name)
@@ -128,8 +135,8 @@
 class Discovery(StandIn):
     """One proxy's view of the list. What is written to it is what it has been told."""
 
-    def __init__(self, proxy: str, members: list[dict], judge: Judge) -> None:
-        super().__init__()
+    def __init__(self, proxy: str, members: list[dict], judge: Judge, event_time: EventTime) -> None:
+        super().__init__(event_time)
         self.proxy = proxy
         self.revision = 1
         self.silent = False  # calls are taken, and never answered
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -15,6 +15,7 @@
 from functools import partial
 from pathlib import Path
 
+from event_time import EventTime
 from fleet_clients import Clients
 from fleet_nodes import CacheNode, Discovery, Origin
 from stepped_start import DOUBLE, SEEN_AT, SIZE, STEP_AT
@@ -71,8 +72,8 @@
         self._folder.mkdir()
         self.address = ("127.0.0.1", free_port())
         self.clock = WallClock(self._folder / "clock")
-        self.discovery = Discovery(self.name, fleet.members(), fleet.judge)
-        self.clients = Clients(self.name, self.address, fleet.judge, number)
+        self.discovery = Discovery(self.name, fleet.members(), fleet.judge, fleet.event_time)
+        self.clients = Clients(self.name, self.address, fleet.judge, fleet.event_time, number)
         self.processes: list[subprocess.Popen] = []
         self.operator = ("127.0.0.1", 0)  # of the newest process
 
@@ -140,8 +141,9 @@
         self.folder = folder
         self.settings = settings or SETTINGS
         self.judge = Judge(rules=Rules(drain_s=DRAIN_S), slack_s=SLACK_S)
+        self.event_time = EventTime()
         self.nodes: list[CacheNode] = []
-        self.origin = Origin(self.judge)
+        self.origin = Origin(self.judge, self.event_time)
         self.proxies: list[RealProxy] = []
 
     def members(self) -> list[dict]:
@@ -158,6 +160,7 @@
 
     async def start(self, nodes: int, before: Sequence[float]) -> None:
         """`before`: for each proxy the step of its wall clock before it starts."""
+        self.event_time.start()
         await self.origin.start()
         for _ in range(nodes):
             await self.add_node()
@@ -174,7 +177,7 @@
 
     async def add_node(self) -> CacheNode:
         """Serves, and is on no list yet."""
-        node = CacheNode(f"s{len(self.nodes)}", self.judge)
+        node = CacheNode(f"s{len(self.nodes)}", self.judge, self.event_time)
         await node.start()
         self.nodes.append(node)
         return node
@@ -200,7 +203,9 @@
         """A new configuration for each proxy; where discovery was nobody answers any more."""
         for proxy in self.proxies:
             before = proxy.discovery
-            proxy.discovery = Discovery(proxy.name, list(before.members.values()), self.judge)
+            proxy.discovery = Discovery(
+                proxy.name, list(before.members.values()), self.judge, self.event_time
+            )
             await proxy.discovery.start()
             proxy.write_config()
             proxy.processes[-1].send_signal(signal.SIGHUP)
@@ -237,15 +242,22 @@
         for proxy in self.proxies:
             proxy.processes[-1].send_signal(number)
 
+    def faults(self) -> list[Exception]:
+        """Of the stand-ins themselves."""
+        here = [*self.nodes, self.origin, *(proxy.discovery for proxy in self.proxies)]
+        return [fault for one in here for fault in one.faults]
+
     def check(self) -> None:
         """All rules held, and there was something to hold them on."""
         lost = sum(len(proxy.clients.lost) for proxy in self.proxies)
         asked = sum(proxy.clients.asked for proxy in self.proxies)
         told = f"{lost} of {asked} requests lost; {dict(self.judge.counts)}; {self.judge.breaches[:5]}"
         assert not self.judge.counts, told
+        assert not self.faults(), self.faults()
         assert asked, "nobody asked"
 
     async def close(self) -> None:
+        await self.event_time.stop()
         for proxy in self.proxies:
             proxy.close()
             await proxy.discovery.stop()
