End a request that this machine can't send by its refusal, not by its guard; share tests' fixtures

Cause: a request whose attempts this machine could not begin is picked anew every 20 ms. Lines: Dispatcher._may_pick_again and _pick_again.

Change: the next try has to lie two ticks before the guard, and one that a hold-up has carried past the request's time gives what the module had left for it.

No assertion went away.

--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -186,7 +186,8 @@
             request.finish(Served(body))
         choice = self._facade.report(attempt.choice, outcome, request.over)
         if outcome is Outcome.NOT_SENT and self._may_pick_again(request, choice):
-            self._wheel.not_before(self._wheel.now() + PICK_AGAIN_MS, lambda: self._pick_again(request))
+            again_ms = self._wheel.now() + PICK_AGAIN_MS
+            self._wheel.not_before(again_ms, lambda: self._pick_again(request, choice))
         elif not request.over:
             self._carry_out(choice, request)
         self._forget(request)
@@ -201,14 +202,20 @@
             return False
         if self._facade.settings.classes[request.class_number].in_turn:
             return False  # picked anew, others with its key would overtake it
-        return self._wheel.now() + PICK_AGAIN_MS + WAY_MS < self._answer_by_ms(request)
+        # The wheel rounds this wait up and the guard down: within a tick of it the guard would come first.
+        latest_ms = self._answer_by_ms(request) - GUARD_MS - 2.0 * self._wheel.granularity_ms
+        return self._wheel.now() + PICK_AGAIN_MS < latest_ms
 
-    def _pick_again(self, request: Request) -> None:
+    def _pick_again(self, request: Request, before: f.Choice) -> None:
+        """`before`: what the module had left for it; that stands where a hold-up has taken its time."""
         if request.over:
             return
-        self._counts.add("picked_again")
         request.left_ms = self._answer_by_ms(request) - self._wheel.now()
-        self._carry_out(self._facade.pick(request), request)
+        if request.left_ms > 0.0:
+            self._counts.add("picked_again")
+            before = self._facade.pick(request)
+        self._carry_out(before, request)
+        self._forget(request)
         self.settle()
 
     def _answer_by_ms(self, request: Request) -> float:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,9 @@
 
 import pytest
 from hypothesis import settings
+from rig import Rig
 
+from cloverwell.back.pool import Pool
 from olivestair import api
 from olivestair.decide import Balancer
 
@@ -105,3 +107,31 @@
 @pytest.fixture
 def drive():
     return Driver
+
+
+@pytest.fixture
+def rig():
+    """Makes whole proxies on real sockets, which end with the test."""
+    made = []
+
+    def make(**more):
+        made.append(Rig(**more))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+@pytest.fixture
+def begun(monkeypatch):
+    """The attempts that have been given to a node's connections so far."""
+    attempts = []
+    real = Pool.start
+
+    def start(pool, attempt):
+        attempts.append(attempt)
+        real(pool, attempt)
+
+    monkeypatch.setattr(Pool, "start", start)
+    return attempts
--- a/tests/control_rig.py
+++ b/tests/control_rig.py
@@ -1,7 +1,7 @@
 """A small fleet for the control log's tests, in virtual time."""
 
 from cloverwell.control.effects import LoadEntry
-from cloverwell.control.entry import EntryKind
+from cloverwell.control.entry import START, Entry, EntryKind, LogState, Snapshot
 from lab.control_world import ControlWorld
 
 REGIONS = ("north", "south", "west")
@@ -50,3 +50,16 @@
     while played.now < until:
         played.run(step_ms)
         played.check_leases()
+
+
+def entry(index, term=1, payload=b"x"):
+    """One of a log."""
+    return Entry(index, term, "configuration", payload, f"p{index}")
+
+
+def snapshot(*entries):
+    """What the entries come to."""
+    position, state = START, LogState()
+    for one in entries:
+        position, state = position.after(one), state.after(one)
+    return Snapshot.of(position, entries[-1].term, state)
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -7,10 +7,9 @@
 import socket
 
 import pytest
-from rig import Rig, read, reset, write
+from rig import read, reset, write
 from twisted.internet import tcp
 
-from cloverwell.back.pool import Pool
 from cloverwell.codec import lines
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.facade import Outcome
@@ -27,30 +26,9 @@
 
 
 @pytest.fixture
-def begun(monkeypatch):
-    """The attempts that have been given to a node's connections so far."""
-    attempts = []
-    real = Pool.start
-
-    def start(pool, attempt):
-        attempts.append(attempt)
-        real(pool, attempt)
-
-    monkeypatch.setattr(Pool, "start", start)
-    return attempts
-
-
-@pytest.fixture
-def rig(begun):
-    made = []
-
-    def make(**more):
-        made.append(Rig(**more))
-        return made[-1]
-
-    yield make
-    for one in made:
-        one.close()
+def rig(begun, rig):
+    """Every attempt from the first on is noted."""
+    return rig
 
 
 def half_close(conn):
--- a/tests/test_connect_errors.py
+++ b/tests/test_connect_errors.py
@@ -6,8 +6,10 @@
 
 import pytest
 from faulty_sockets import Calls, Outgoing, take_watch_back
-from rig import Rig, read, write
+from rig import read, write
+from scenario import Player
 from twisted.internet.error import ConnectError, TimeoutError, getConnectError
+from twisted.python.failure import Failure
 
 from cloverwell.connections.budget import Side
 from cloverwell.connections.figures import What
@@ -26,19 +28,6 @@
     return Outgoing(monkeypatch)
 
 
-@pytest.fixture
-def rig():
-    made = []
-
-    def make(**more):
-        made.append(Rig(**more))
-        return made[-1]
-
-    yield make
-    for one in made:
-        one.close()
-
-
 def fail(outgoing, address, stage, *faults, always=None):
     """Has that step of connections to the address fail so."""
     if stage == "socket":
@@ -151,6 +140,29 @@
     assert not proxy.service.budget.held[Side.BACK]
 
 
+def fail_all_connects(player):
+    """Each connection to a node that has been asked for ends by a fault of this machine."""
+    asked = player.reactor.tcpClients[player.asked :]
+    player.asked += len(asked)
+    for _, port, factory, *_ in asked:
+        if port != player.ports["discovery"]:
+            factory.clientConnectionFailed(None, Failure(ConnectError(osError=errno.ENFILE)))
+
+
+@pytest.mark.parametrize("make", [read, write])
+def test_wherever_its_last_try_falls_between_two_ticks_such_a_request_is_refused(make):
+    # A request's guard is rounded down to a tick and the wait for a try up: the guard must not be first.
+    for wait_ms in range(400, 470):
+        player = Player()
+        player.reactor.advance(0.0002)  # each tick comes a little late from now on, as in life
+        protocol, transport = player.connection("client", 0)
+        protocol.dataReceived(make(1, wait_ms))
+        for _ in range(wait_ms):
+            fail_all_connects(player)
+            player.reactor.advance(0.001)
+        assert transport.value().startswith(b"SERVER_ERROR busy"), wait_ms
+
+
 @pytest.mark.parametrize("make", [read, write])
 def test_a_client_that_leaves_while_its_request_can_not_be_sent_has_nothing_sent_later(rig, outgoing, make):
     proxy = rig()
--- a/tests/test_control_file_storage.py
+++ b/tests/test_control_file_storage.py
@@ -3,27 +3,15 @@
 import os
 
 import pytest
+from control_rig import entry, snapshot
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cloverwell.control.entry import START, Entry, LogState, Snapshot
 from cloverwell.control.server import file_storage
 from cloverwell.control.server.file_storage import FILE_NAME, FileStorage
 from cloverwell.control.server.records import HEADER
 from cloverwell.control.storage import StorageError, StoredState, Write
 
-
-def entry(index, term=1, payload=b"x"):
-    return Entry(index, term, "configuration", payload, f"p{index}")
-
-
-def snapshot(*entries):
-    position, state = START, LogState()
-    for one in entries:
-        position, state = position.after(one), state.after(one)
-    return Snapshot.of(position, entries[-1].term, state)
-
-
 WRITES = [
     Write(1, ""),
     Write(1, "a"),
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -4,9 +4,9 @@
 from pathlib import PurePosixPath
 
 import pytest
+from control_rig import entry, snapshot
 from failing_files import Disk, Effect, Fault, Killed
 
-from cloverwell.control.entry import START, Entry, LogState, Snapshot
 from cloverwell.control.server import file_storage
 from cloverwell.control.server.file_storage import FILE_NAME, NEW_SUFFIX, FileStorage
 from cloverwell.control.server.records import HEADER
@@ -16,17 +16,6 @@
 ERRORS = [errno.ENOSPC, errno.EIO, errno.EROFS, errno.EDQUOT]
 
 
-def entry(index, term=1, payload=b"x"):
-    return Entry(index, term, "configuration", payload, f"p{index}")
-
-
-def snapshot(*entries):
-    position, state = START, LogState()
-    for one in entries:
-        position, state = position.after(one), state.after(one)
-    return Snapshot.of(position, entries[-1].term, state)
-
-
 WRITES = [
     Write(1, "a"),
     Write(2, "a", entries=(entry(1), entry(2))),
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -3,25 +3,12 @@
 import socket
 
 import pytest
-from rig import Rig, read, reset, write
+from rig import read, reset, write
 
 from cloverwell.front.client_connection import AHEAD, ClientConnection
 from lab.proxy import SETTINGS
 
 
-@pytest.fixture
-def rig():
-    made = []
-
-    def make(**more):
-        made.append(Rig(**more))
-        return made[-1]
-
-    yield make
-    for one in made:
-        one.close()
-
-
 def served(rig, conn, node, number, value=b"x"):
     """The client's read is answered by the node's connection."""
     rig.got(node, f"mg k{number} ".encode())
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -10,10 +10,9 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from rig import Rig, read, write
+from rig import read, write
 from scenario import Player
 
-from cloverwell.back.pool import Pool
 from cloverwell.codec.lines import RingLineReceiver
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.front import Stage
@@ -27,33 +26,6 @@
 HIT = b"VA 1 O%d\r\nx\r\n"
 
 
-@pytest.fixture
-def rig():
-    made = []
-
-    def make(**more):
-        made.append(Rig(**more))
-        return made[-1]
-
-    yield make
-    for one in made:
-        one.close()
-
-
-@pytest.fixture
-def begun(monkeypatch):
-    """The attempts that have been given to a node's connections so far."""
-    attempts = []
-    real = Pool.start
-
-    def start(pool, attempt):
-        attempts.append(attempt)
-        real(pool, attempt)
-
-    monkeypatch.setattr(Pool, "start", start)
-    return attempts
-
-
 # A new connection of a process that is being emptied ----------------------------------------------
 
 
