Tell the factory of each rest of its port, and keep the rest in mind while nobody waits

Cause: a port whose accept failed told its factory once a second, and only then was the queue marked as not read: who waited behind another rest of that second had all of its time told to its node. A look at the queue that found it empty in the middle of a rest dropped the mark as well, since only a full proxy set it anew.

Change: `Bounded.accepts_no_more` is called at the beginning of each rest; `accept_failed`, with the reason, stays at once a second, and so do its log line and its figure. The clients' connections ask their port by `ListeningPort` (`accepting`, `waits`) in place of a `getattr` on `fileno`; after a look that finds nobody the mark is set anew unless the port is read. The lab's listener rests as a whole, first come first served, and tells its factory the same; until now it told nothing, and could not be looked at.

--- a/cloverwell/control/server/port.py
+++ b/cloverwell/control/server/port.py
@@ -66,6 +66,9 @@
     def accept_failed(self, reason: str) -> None:
         self.log.warn("accept", f"failed for a moment: {reason}")
 
+    def accepts_no_more(self) -> None:
+        """How long who connects waits to be let in does not count."""
+
     def buildProtocol(self, addr: IPv4Address) -> InboundConnection:
         self._last_number += 1
         return InboundConnection(self, self._last_number, f"{addr.host}:{addr.port}")
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -1,12 +1,12 @@
 """All clients' connections: carries out what `connections.front` decides about them."""
 
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from twisted.internet.address import IPv4Address
-from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory
 
-from cloverwell.codec.lines import hung_up, readable, unsent
+from cloverwell.codec.lines import hung_up, unsent
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.budget import Budget, Side
 from cloverwell.connections.figures import Figures, What
@@ -30,6 +30,21 @@
 BUSY_MS = 1000.0  # how long a client should keep away from a proxy that is short of descriptors
 
 
+class ListeningPort(Protocol):
+    """What is asked of the port that clients connect to."""
+
+    @property
+    def accepting(self) -> bool:
+        """It is read now."""
+
+    def waits(self) -> bool:
+        """A connection waits in the machine's queue."""
+
+    def pauseProducing(self) -> None: ...
+
+    def resumeProducing(self) -> None: ...
+
+
 class ClientConnections(Factory):
     noisy = False
 
@@ -49,7 +64,7 @@
         of all long values that are on their way."""
         self.flows = 0
         self._flow_bytes = flow_bytes
-        self.port: IPushProducer | None = None  # that listens
+        self.port: ListeningPort | None = None
         self.dispatcher = dispatcher
         self.serving = serving
         self.wheel = wheel
@@ -97,7 +112,6 @@
         """The machine is short of something: the port rests a moment, who connects waits in its queue."""
         self._log.warn("accept", f"failed for a moment: {reason}")
         self._figures.add(What.PAUSED)
-        self.accepts_no_more()
 
     def closed(self, connection: ClientConnection) -> None:
         if connection in self.connections:
@@ -128,8 +142,7 @@
 
     def _waits(self) -> bool:
         """Someone waits to be accepted."""
-        fileno = getattr(self.port, "fileno", None)  # the lab's port has none, and is not looked at
-        return self.port is None or (fileno is not None and readable(fileno()))
+        return self.port is None or self.port.waits()
 
     def _look_at_queue(self) -> None:
         if not self._queue.may_stand or self.port is None:
@@ -138,7 +151,7 @@
             self._queue.looked_at(self.wheel.now())
         else:
             self._queue.empty()
-            if self._full:
+            if not self.port.accepting:
                 self.accepts_no_more()
 
     def _rest(self) -> None:
--- a/cloverwell/front/operators.py
+++ b/cloverwell/front/operators.py
@@ -53,6 +53,9 @@
     def accept_failed(self, reason: str) -> None:
         self._log.warn("operator", f"no caller could be let in for a moment: {reason}")
 
+    def accepts_no_more(self) -> None:
+        """How long a caller waits to be let in does not count."""
+
     def buildProtocol(self, addr: IPv4Address) -> Caller:
         while len(self.callers) >= CALLERS:
             next(iter(self.callers)).close()
--- a/cloverwell/front/port.py
+++ b/cloverwell/front/port.py
@@ -12,6 +12,7 @@
 from twisted.internet import tcp
 from twisted.internet.error import CannotListenError
 
+from cloverwell.codec.lines import readable
 from cloverwell.system_calls import NEXT_CONNECTION, SHORTAGE
 
 MOST_TURNS = 32  # at the end, each as many as the factory lets in at once: the machine's queue is shorter
@@ -32,6 +33,9 @@
     def accept_failed(self, reason: str) -> None:
         """This machine could not accept for a moment; it is tried again, and told once a second at most."""
 
+    def accepts_no_more(self) -> None:
+        """The port begins a rest: it is not read meanwhile, and who connects waits. Each rest is told."""
+
 
 class _Guarded:
     """The listening socket. Twisted closes all that wait when an accept fails for want of a descriptor, and
@@ -79,6 +83,11 @@
     _paused = False
     _told_s: float | None = None
 
+    @property
+    def accepting(self) -> bool:
+        """The port is read: it neither rests nor is paused."""
+        return self._resting is None and not self._paused
+
     def guard(self) -> None:
         """Listens already."""
         self.socket = _Guarded(self.socket, self._rest)
@@ -87,6 +96,7 @@
         if self._resting is None and not self.disconnecting:
             self.stopReading()
             self._resting = self.reactor.callLater(REST_S, self._go_on)
+            self.factory.accepts_no_more()
         now_s = self.reactor.seconds()
         if self._told_s is None or now_s - self._told_s >= TELL_S:
             self._told_s = now_s
@@ -128,6 +138,10 @@
             made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         return made
 
+    def waits(self) -> bool:
+        """A connection waits in the machine's queue."""
+        return readable(self.fileno())
+
     def share(self) -> int:
         """The descriptor, for another process; what waits in the queue waits for both from now on."""
         self._shouldShutdown = False  # ours is closed at the end, but the socket itself must go on listening
--- a/cloverwell/handover/predecessor.py
+++ b/cloverwell/handover/predecessor.py
@@ -86,6 +86,9 @@
     def accept_failed(self, reason: str) -> None:
         self.log.warn("handover", f"no successor could be let in for a moment: {reason}")
 
+    def accepts_no_more(self) -> None:
+        """How long a successor waits to be let in does not count."""
+
     def buildProtocol(self, addr: object) -> SuccessorConnection | None:
         if self._callers >= CALLERS:
             return None
--- a/lab/listener.py
+++ b/lab/listener.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import errno
+import os
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from cloverwell.front.port import MOST_TURNS
+from cloverwell.front.port import MOST_TURNS, REST_S, TELL_S
 from lab.system_call_faults import calls_of
 
-REST_S = 0.02  # of a port whose accept has failed for want of something: who connects waits in the queue
 Address = tuple[str, int]
 
 
@@ -25,6 +25,8 @@
 
     listeners: dict[Address, Any]
 
+    def seconds(self) -> float: ...
+
     def callLater(self, delay: float, call: Callable[[], None]) -> Any: ...
 
     def accepted(self, listener: Listener, far: Any) -> None:
@@ -36,44 +38,68 @@
 
     def __init__(self, net: NetForListener, address: Address, factory: Any, owner: object = None) -> None:
         self.net, self.address, self.factory, self.owner = net, address, factory, owner
-        self.paused = False
+        self.disconnecting = False  # an accept that fails is tried again at once, and starts no rest
         self.shares: list[Listener] = [self]  # of one socket, the latest last
-        self._queue: list[FarEnd] = []  # connections that wait to be accepted
-        self._retries = False  # an accept that failed is tried again after the rest
+        self._queue: list[FarEnd] = []  # connections that wait to be accepted, first come first served
+        self._paused = False
+        self._resting = False
+        self._told_s: float | None = None  # when the factory heard last why accepts fail
+
+    @property
+    def accepting(self) -> bool:
+        """The port is read: it neither rests nor is paused."""
+        return not (self._resting or self._paused)
+
+    def waits(self) -> bool:
+        """A connection waits in the machine's queue."""
+        return bool(self._queue)
 
     def pauseProducing(self) -> None:
-        self.paused = True
+        self._paused = True
 
     def resumeProducing(self) -> None:
-        self.paused = False
+        self._paused = False
         self._accept_waiting()
 
-    def _retry(self) -> None:
-        self._retries = False
-        self._accept_waiting()
-
-    def _accept_waiting(self) -> None:
-        queue = self._queue[:]
-        self._queue.clear()
-        for far in queue:
-            self.accept(far, waited=True)
-
-    def accept(self, far: FarEnd, waited: bool = False) -> None:
+    def accept(self, far: FarEnd) -> None:
         """The connection whose end here is `far` is taken by the program, or waits until it can be."""
-        taker = next((listener for listener in reversed(self.shares) if not listener.paused), None)
-        if taker is None:
-            self._queue.append(far)
-            return
-        match calls_of(taker.owner).accept_error_number(waited):
-            case None:
+        self._queue.append(far)
+        self._accept_waiting(arriving=far)
+
+    def _accept_waiting(self, arriving: FarEnd | None = None) -> None:
+        """`arriving`: the one that has not waited, if that is in the queue."""
+        while self._queue and (taker := self._taker()) is not None:
+            far = self._queue[0]
+            error_number = calls_of(taker.owner).accept_error_number(waited=far is not arriving)
+            if error_number is None:
+                del self._queue[0]
                 self.net.accepted(taker, far)
-            case errno.ECONNABORTED:
+            elif error_number == errno.ECONNABORTED:
+                del self._queue[0]
                 far.turn_away()
-            case _:  # the proxy's port rests for a moment
-                self._queue.append(far)
-                if not self._retries:
-                    self._retries = True
-                    self.net.callLater(REST_S, self._retry)
+            else:
+                taker.accept_failed(error_number)
+                if taker.disconnecting:
+                    return
+
+    def _taker(self) -> Listener | None:
+        """The process that takes the next connection, if one does now."""
+        return next((listener for listener in reversed(self.shares) if listener.accepting), None)
+
+    def accept_failed(self, error_number: int) -> None:
+        """As `port.RestingPort`: it rests, and tells its factory of each rest, and why once a second."""
+        if not self.disconnecting:
+            self._resting = True
+            self.net.callLater(REST_S, self._go_on)
+            self.factory.accepts_no_more()
+        now_s = self.net.seconds()
+        if self._told_s is None or now_s - self._told_s >= TELL_S:
+            self._told_s = now_s
+            self.factory.accept_failed(os.strerror(error_number))
+
+    def _go_on(self) -> None:
+        self._resting = False
+        self._accept_waiting()
 
     def share(self) -> Listener:
         """As `port.BoundedPort`: what another process adopts."""
@@ -95,7 +121,7 @@
 
     def _accept_last(self) -> None:
         """What still waits would be reset: it is taken first, as far as accepts do not fail all the time."""
+        self.disconnecting = True
+        self._paused = self._resting = False
         for _ in range(MOST_TURNS):
-            if self._queue:
-                self.paused = False
-                self._accept_waiting()
+            self._accept_waiting()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -55,6 +55,15 @@
     def loseWriteConnection(self):
         self.shut = True
 
+    @property
+    def accepting(self):
+        """As a listening port: it is not paused."""
+        return self.producerState == "producing"
+
+    def waits(self):
+        """As a listening port: nobody waits to be accepted."""
+        return False
+
     @property
     def ended(self):
         return self.disconnecting or self.aborted or self.shut
--- a/tests/test_accept_errors.py
+++ b/tests/test_accept_errors.py
@@ -1,12 +1,13 @@
 """Accepts that fail, in every way that Linux documents: the queue and the port live, and nothing spins."""
 
 import errno
+import re
 import socket
 from types import SimpleNamespace
 
 import pytest
 from faulty_sockets import Calls, accepting
-from rig import Rig, read
+from rig import Rig, read, write
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.task import Clock
@@ -24,7 +25,7 @@
     noisy = False
 
     def __init__(self):
-        self.let_in, self.failures = [], []
+        self.let_in, self.failures, self.rests = [], [], 0
 
     def may_accept(self):
         return 64
@@ -32,6 +33,9 @@
     def accept_failed(self, reason=""):
         self.failures.append(reason)
 
+    def accepts_no_more(self):
+        self.rests += 1
+
     def buildProtocol(self, addr):
         self.let_in.append(addr)
         return Protocol()
@@ -107,6 +111,20 @@
     assert 3 <= len(made.desk.failures) <= 4
 
 
+def test_each_rest_is_told_also_where_its_reason_is_not(knock):
+    made = knock(1)
+    calls = accepting(made.port, Calls(errno.ENFILE)).calls
+    made.loop.turn()
+    made.loop.advance(0.02)
+    made.loop.turn()
+    assert made.desk.rests == 1 and len(made.desk.let_in) == 1
+    calls.always = errno.ENFILE
+    for rests in range(2, 7):
+        made.loop.turn(TURNS)
+        assert made.desk.rests == rests and len(made.desk.failures) == 1
+        made.loop.advance(0.02)
+
+
 @pytest.mark.parametrize("number", ENDED)
 def test_a_connection_that_has_ended_in_the_queue_holds_none_behind_it_up(knock, number):
     made = knock(3)
@@ -147,6 +165,20 @@
     assert len(made.desk.let_in) == 1
 
 
+def test_a_port_accepts_only_while_neither_a_rest_nor_a_pause_lasts(knock):
+    made = knock(1)
+    accepting(made.port, Calls(errno.ENFILE))
+    assert made.port.accepting and made.port.waits()
+    made.loop.turn()
+    assert not made.port.accepting
+    made.port.pauseProducing()
+    made.loop.advance(0.02)
+    assert not made.port.accepting and made.port.waits()
+    made.port.resumeProducing()
+    made.loop.turn()
+    assert made.port.accepting and not made.port.waits()
+
+
 def test_a_port_that_closes_while_it_rests_stays_closed(knock):
     made = knock(0)
     accepting(made.port, Calls(errno.ENFILE))
@@ -224,3 +256,52 @@
         assert proxy.got(outside, b"y\r\n") == b"VA 1 O2\r\ny\r\n"
     finally:
         proxy.close()
+
+
+# The time of those who wait ------------------------------------------------------------------------
+
+WAIT_MS = 300.0
+
+
+@pytest.fixture
+def resting(monkeypatch):
+    """A proxy whose port rests until the test ends the rest."""
+    monkeypatch.setattr(port_module, "REST_S", 3600.0)
+    made = Rig()
+    yield made
+    made.close()
+
+
+def end_rest(proxy):
+    proxy.service._port._resting.reset(0)
+
+
+def told_ms_after_waiting(proxy):
+    """What a request with 1900 ms tells its node after it has waited in the queue of a port that rests."""
+    proxy.client(write(1, 1900))
+    proxy.skip(WAIT_MS)
+    end_rest(proxy)
+    return int(re.search(rb"d=(\d+)", proxy.got(proxy.origin.take(), b"\r\n"))[1])
+
+
+def test_a_request_behind_a_further_rest_tells_its_node_what_is_left_then(resting):
+    # Seen: the port told one rest a second, and who waited for the others had all of their time.
+    calls = accepting(resting.service._port, Calls(errno.ENFILE)).calls
+    first = resting.client(b"mn\r\n")
+    resting.until(lambda: calls.failed == 1)
+    end_rest(resting)
+    resting.got(first, b"MN")
+    calls.faults.append(errno.ENFILE)
+    second = resting.client()
+    resting.until(lambda: calls.failed == 2)
+    assert told_ms_after_waiting(resting) <= 1900 - WAIT_MS
+    second.close()
+
+
+def test_a_request_that_comes_late_in_a_rest_tells_its_node_what_is_left_then(resting):
+    # Seen: a look at the queue that found it empty forgot the rest, which went on.
+    calls = accepting(resting.service._port, Calls(None, errno.ENFILE)).calls
+    resting.got(resting.client(b"mn\r\n"), b"MN")
+    resting.until(lambda: calls.failed == 1)
+    resting.skip(200)
+    assert told_ms_after_waiting(resting) <= 1900 - WAIT_MS
--- a/tests/test_lab_system_calls.py
+++ b/tests/test_lab_system_calls.py
@@ -15,9 +15,9 @@
 
 from cloverwell.codec.lines import RingLineReceiver
 from cloverwell.front.client_connection import ClientConnection
+from cloverwell.front.port import REST_S
 from lab.cli import lab
 from lab.judge import RULES
-from lab.listener import REST_S
 from lab.net import Net
 from lab.play import Play
 from lab.system_call_faults import SystemCalls
@@ -153,7 +153,13 @@
     noisy = False
 
     def __init__(self):
-        self.built = []
+        self.built, self.failures, self.rests = [], [], 0
+
+    def accept_failed(self, reason):
+        self.failures.append(reason)
+
+    def accepts_no_more(self):
+        self.rests += 1
 
     def buildProtocol(self, addr):
         self.built.append(Recorded())
--- a/tests/test_port.py
+++ b/tests/test_port.py
@@ -23,6 +23,9 @@
     def accept_failed(self, reason):
         self.short += 1
 
+    def accepts_no_more(self):
+        """Nothing hangs on it here."""
+
     def buildProtocol(self, addr):
         self.let_in.append(addr)
         return Protocol()
