Have every transport that uses a socket of its own read errors that pass as `not now`

Cause: `steady` put its socket before real sockets alone.

Change: `steady` goes by whether the transport's handle is its `socket` attribute: so it is with Twisted's connections and with the lab's, not with transports in memory. The lab's `getHandle` gives what it calls.

--- a/cloverwell/codec/steady_socket.py
+++ b/cloverwell/codec/steady_socket.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 import errno
-import socket
-from typing import Any
+from typing import Any, Protocol
 
 from cloverwell.system_calls import MOMENTARY
 
@@ -17,12 +16,20 @@
     """The call could not be made; what it would have found is not known."""
 
 
+class ConnectedSocket(Protocol):
+    """What is called of the socket under a transport; the machine's, or one that stands for it."""
+
+    def recv(self, size: int, flags: int = 0, /) -> bytes: ...
+
+    def send(self, data: bytes | memoryview, flags: int = 0, /) -> int: ...
+
+
 class SteadySocket:
     """A socket whose `recv` and `send` raise `TryAgainError` where the same call may succeed later."""
 
     __slots__ = ("_socket",)
 
-    def __init__(self, connected: socket.socket) -> None:
+    def __init__(self, connected: ConnectedSocket) -> None:
         self._socket = connected
 
     def recv(self, size: int, flags: int = 0) -> bytes:
@@ -48,8 +55,11 @@
 
 
 def steady(transport: Any) -> Any:
-    """Has the transport use its socket so, and gives the handle; one that is no machine's socket stays."""
+    """Has the transport use its socket so, and gives the handle.
+
+    A transport whose handle is not its `socket` attribute, such as one that keeps what is written in memory,
+    stays as it is: what is put there would not be used."""
     handle = transport.getHandle()
-    if isinstance(handle, socket.socket):
+    if getattr(transport, "socket", None) is handle:
         handle = transport.socket = SteadySocket(handle)
     return handle
--- a/lab/connection_end.py
+++ b/lab/connection_end.py
@@ -260,8 +260,8 @@
         if self._look is not None:
             self._look[1].close()
 
-    def getHandle(self) -> End:
-        return self
+    def getHandle(self) -> Any:
+        return self.socket
 
     def getHost(self) -> IPv4Address:
         return self._addresses[0]
--- a/tests/test_lab_clock_steps.py
+++ b/tests/test_lab_clock_steps.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from cloverwell.membership.node_starts import LONG_AGO, NodeStarts
 from cloverwell.service import Service
 from lab import play
 from lab.judge import RULES
@@ -129,6 +130,37 @@
     return [fault for fault in load("clock-steps").faults if fault.at_s < 6.0]
 
 
+# Nodes that start cold on a clock that was stepped back ---------------------------------------------
+
+
+def soon_cold(seconds):
+    """The shipped world with its faults earlier: the lost zone's nodes start at 4.5 s."""
+    begins = {"clock_step": (0.25, 0.0), "origin_slow": (0.5, 4.0), "zone_lost": (2.0, 2.5)}
+    world = load("cold-steps")
+    faults = [
+        msgspec.structs.replace(fault, at_s=begins[fault.kind][0], for_s=begins[fault.kind][1])
+        for fault in world.faults
+    ]
+    return msgspec.structs.replace(world, seconds=seconds, faults=faults)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_nodes_that_start_after_a_step_back_are_held_to_what_cold_nodes_can_do(seed):
+    summary = Play(soon_cold(7.6), seed).run()
+    assert not broken(summary), summary["breaches"]
+    assert len(summary["notes"]) >= 3 and summary["requests"] > 1000
+
+
+def test_the_judge_catches_a_proxy_that_believes_the_stepped_clock(monkeypatch):
+    def as_told(starts, up_since_ms, now, held):
+        return {
+            node: told_ms + starts._epoch_ms if told_ms else LONG_AGO for node, told_ms in up_since_ms.items()
+        }
+
+    monkeypatch.setattr(NodeStarts, "take", as_told)
+    assert "cold" in broken(Play(soon_cold(7.1), 3).run())
+
+
 # What a machine shows -------------------------------------------------------------------------------
 
 
