Take a look at the accept queue again where the machine could not poll, as with clients that left

Cause: codec/lines.py `readable` let the OSError of a poll (ENOMEM) out, into the building of a new connection, which ended it; `hung_up` beside it has taken such a look three times since the failing calls were joined. Both share that now; where no look succeeds, connections are taken to wait, so that their time counts.

Test: 2 of its 3 cases failed before (2 and 3 failing polls).

--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -30,19 +30,25 @@
     poll = select.poll()
     for handle in handles:
         poll.register(handle, select.POLLRDHUP)
-    for _ in range(POLL_TRIES):
-        try:
-            return {descriptor for descriptor, _ in poll.poll(0)}
-        except OSError:  # for want of memory
-            continue
-    return set()  # the next look will tell
+    found = _poll_now(poll)
+    return {descriptor for descriptor, _ in found or ()}  # after a look that failed the next one will tell
 
 
 def readable(handle: socket.socket | int) -> bool:
-    """Something can be read, or accepted, at once."""
+    """Something can be read, or accepted, at once, as far as anyone can tell."""
     poll = select.poll()
     poll.register(handle, select.POLLIN)
-    return bool(poll.poll(0))
+    return _poll_now(poll) != []
+
+
+def _poll_now(poll: select.poll) -> list[tuple[int, int]] | None:
+    """What is ready at once; None where the machine could not look."""
+    for _ in range(POLL_TRIES):
+        try:
+            return poll.poll(0)
+        except OSError:  # for want of memory
+            continue
+    return None
 
 
 def unsent(handle: socket.socket | int) -> int:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -12,7 +12,7 @@
 from rig import Rig, read, write
 
 from cloverwell.codec import lines
-from cloverwell.codec.lines import hung_up
+from cloverwell.codec.lines import hung_up, readable
 from cloverwell.connections.back import Use
 from lab.proxy import SETTINGS
 
@@ -209,26 +209,47 @@
         signal.signal(signal.SIGALRM, before)
 
 
-@pytest.mark.parametrize("fails, seen", [(1, True), (2, True), (3, False)])
-def test_a_look_for_clients_that_have_left_is_taken_again(fails, seen, monkeypatch):
-    calls = Calls(*[errno.ENOMEM] * fails)
+@pytest.fixture
+def failing_polls(monkeypatch):
+    """Has so many polls in a row fail for want of memory."""
+
+    def fail(times):
+        calls = Calls(*[errno.ENOMEM] * times)
+
+        class Poll:
+            def __init__(self):
+                self._poll = select.poll()
+                self.register = self._poll.register
+
+            def poll(self, wait):
+                calls.check()
+                return self._poll.poll(wait)
 
-    class Poll:
-        def __init__(self):
-            self._poll = select.poll()
-            self.register = self._poll.register
+        fake = SimpleNamespace(poll=Poll, POLLRDHUP=select.POLLRDHUP, POLLIN=select.POLLIN)
+        monkeypatch.setattr(lines, "select", fake)
 
-        def poll(self, wait):
-            calls.check()
-            return self._poll.poll(wait)
+    return fail
 
-    monkeypatch.setattr(lines, "select", SimpleNamespace(poll=Poll, POLLRDHUP=select.POLLRDHUP))
+
+@pytest.mark.parametrize("fails, seen", [(1, True), (2, True), (3, False)])
+def test_a_look_for_clients_that_have_left_is_taken_again(fails, seen, failing_polls):
+    failing_polls(fails)
     ours, theirs = socket.socketpair()
     with ours:
         theirs.close()
         assert hung_up([ours]) == ({ours.fileno()} if seen else set())
 
 
+@pytest.mark.parametrize("fails, seen", [(0, False), (2, False), (3, True)])
+def test_a_look_for_connections_that_wait_is_taken_again_and_else_they_are_taken_to_wait(
+    fails, seen, failing_polls
+):
+    failing_polls(fails)
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        assert readable(ours) is seen
+
+
 # What ends a connection ----------------------------------------------------------------------------
 
 
