--- a/lab/processes.py
+++ b/lab/processes.py
@@ -24,7 +24,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 30.0
-_ports = iter(random.sample(range(16_000, 32_000), 16_000))
+PORTS = range(16_000, 32_000)
+_ports = iter(random.sample(PORTS, len(PORTS)))
 
 
 class CacheNode(socketserver.StreamRequestHandler):
@@ -58,6 +59,13 @@
             return port
 
 
+def share_ports(place: int, number: int) -> None:
+    """From now on only ports that none of `number` processes takes but the one at this place, from 0 on."""
+    global _ports
+    own = PORTS[place::number]
+    _ports = iter(random.sample(own, len(own)))
+
+
 class Place:
     """An address to serve at, one node, and the processes that are started there."""
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,15 +1,22 @@
 """A small driver: feeds one balancer events and reads its actions. No clock, no bench."""
 
 import itertools
+import os
 
 import pytest
 from hypothesis import settings
 from rig import Rig
 
 from cloverwell.back.pool import Pool
+from lab.processes import share_ports
 from olivestair import api
 from olivestair.decide import Balancer
 
+# Tests run in several processes: none takes a port that another may have looked at.
+WORKERS = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+share_ports(WORKER, WORKERS)
+
 # The same examples in every run, and none that fails because the machine was busy while it was tried.
 settings.register_profile("repeatable", derandomize=True, deadline=None)
 settings.load_profile("repeatable")
