Believe no start from more than a second before the last list: on a clock 5 s ahead it was four

Cause: membership/node_starts.py believed a start from a fifth of the warm-up before the last list, the time that a node may take to register; of 20 s that is 4 s, and where the node joined 1 s or more behind the list, a start told 5 s too early passed.

Change: the time to register is a second, or a fifth of the warm-up where that is less. Nodes register 505 to 510 ms before the list before them in the lab; those stay believed. A start that is told late by more than a second is taken for later than it was, which is the cold side.

--- a/cloverwell/membership/node_starts.py
+++ b/cloverwell/membership/node_starts.py
@@ -19,9 +19,10 @@
 import msgspec
 
 LONG_AGO = -math.inf
-# How long before the list before it a start may be told and still be believed, as a part of the warm-up: a
-# node registers some time after its start. What that may err by is a fifth of the way from cold to warm.
-REGISTRATION_SHARE = 0.2
+# How long before the list before it a start may be told and still be believed: a node registers some time
+# after its start. What that may err by is as much of the way from cold to warm: a second, or a fifth of it.
+REGISTRATION_MS = 1000.0
+REGISTRATION_SHARE = 0.2  # of the warm-up
 MAX_GONE = 1024  # starts of nodes that are listed no more, kept in case one comes back without a restart
 
 
@@ -50,7 +51,7 @@
 
     def __init__(self, epoch_ms: float, warm_up_ms: float) -> None:
         self._epoch_ms = epoch_ms
-        self._registration_ms = REGISTRATION_SHARE * warm_up_ms
+        self._registration_ms = min(REGISTRATION_MS, REGISTRATION_SHARE * warm_up_ms)
         self._listed_ms: float | None = None  # discovery's last list; a held list has no date
         self._starts: dict[str, NodeStart] = {}
 
--- a/tests/test_node_starts.py
+++ b/tests/test_node_starts.py
@@ -199,6 +199,13 @@
     }
 
 
+def test_of_a_long_warm_up_no_more_than_a_second_is_believed_from_before_the_last_list():
+    starts = NodeStarts(0.0, 20_000.0)
+    starts.take({}, 1e9, 0.0, held=False)
+    told = {"soon": 1e9 - 1000.0, "late": 1e9 - 1001.0}
+    assert starts.take(told, 1e9 + 500.0, 0.0, held=False) == {"soon": 1e9 - 1000.0, "late": 1e9 + 500.0}
+
+
 def test_a_held_list_has_no_date():
     assert starts_at(1e9, listed=False).take({"s1": 1e9 - 2 * HOUR_MS}, 1e9, 0.0, held=False) == {
         "s1": 1e9 - 2 * HOUR_MS
