Move the parsing of clients' commands into a module of its own

CommandReceiver cuts bytes into commands and values and calls request_received, probe_received, reject_command or reject_and_close. One call a request is saved (`_new_response`), and a request is made when its value is complete rather than before it.

--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -10,13 +10,12 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from cloverwell.codec.lines import MAX_LINE, MAX_WRITE, PEEK, RingLineReceiver, hung_up
-from cloverwell.codec.meta import CommandError, CommandFields
+from cloverwell.codec.lines import PEEK, hung_up
+from cloverwell.codec.meta import CommandFields
 from cloverwell.codec.steady_socket import TryAgainError
-from cloverwell.connections.arrival import CommandArrival
+from cloverwell.front.command_receiver import CommandReceiver
 from cloverwell.front.connection_owner import ConnectionOwner
 from cloverwell.front.meta_answers import BUSY, DRAINING, SERVING, encode_answer, encode_error
-from cloverwell.front.meta_commands import LostFramingError, parse_get, parse_set, parse_value_length
 from cloverwell.front.pending_response import PendingResponse
 from cloverwell.front.response_queue import ResponseQueue
 from cloverwell.request import FinalAnswer, Rejected, Request, Served
@@ -33,26 +32,21 @@
 STREAM_PIECE_BYTES = 32 * 1024  # bytes that the transport holds while its client does not read
 
 
-class ClientConnection(RingLineReceiver):
+class ClientConnection(CommandReceiver):
     """One client's connection: commands become requests, and responses leave in the order of the commands."""
 
-    in_bytes = MAX_WRITE + 2 * MAX_LINE
     piece_bytes = STREAM_PIECE_BYTES
     transport: Any  # Twisted's TCP transport, which is also a producer of bytes
 
     def __init__(self, owner: ConnectionOwner[ClientConnection]) -> None:
         """Create the connection of a client that has just been accepted."""
-        super().__init__()
+        super().__init__(owner.classes, owner.tenants)
         self._owner = owner
         self._responses = ResponseQueue(self, owner)
-        self._pending_write: PendingResponse | None = None  # Its request's value has not come yet.
-        self._bytes_to_discard = 0  # of the value of a malformed command
-        self._discard_reason = ""  # what is wrong with that command
         self._malformed_count = 0  # malformed commands in a row
         self._throttled = False  # Reading is paused because of malformed commands.
         self._nothing_read = True
         self._partial_command_reported = False
-        self._arrival = CommandArrival()
         self._created_ms = self.write_closed_ms = owner.timer_wheel.now()  # when our side was closed
 
     # Reading ------------------------------------------------------------------------------------
@@ -129,102 +123,29 @@
 
     # Commands -----------------------------------------------------------------------------------
 
-    def lineReceived(self, line: bytes) -> None:
-        """Handle a command, or its first line if a value follows."""
-        if not line.isascii():
-            self._reject_command("not ASCII")
-            return
-        words = line.decode().split(" ")
-        match words[0]:
-            case "mn" if len(words) == 1:
-                self._malformed_count = 0
-                self._owner.request_started(self)
-                self._send_line(SERVING if self._owner.serving.wanted else DRAINING)
-            case "mg":
-                self._handle_get(words)
-            case "ms":
-                self._handle_set(words)
-            case _:
-                self._reject_command("unknown command")
-        if not self._wanted:
-            self._arrival.command_complete()
-
-    def _handle_get(self, words: list[str]) -> None:
-        try:
-            fields = parse_get(words, self._owner.classes, self._owner.tenants)
-        except CommandError as error:
-            self._reject_command(str(error))
-            return
-        self._start_request(self._new_response(fields, write=False))
-
-    def _handle_set(self, words: list[str]) -> None:
-        try:
-            length_bytes = parse_value_length(words)
-        except LostFramingError as error:
-            self._reject_and_close(str(error))
-            return
-        value_bytes = length_bytes + 2  # with its line end
-        try:
-            fields = parse_set(words, length_bytes, self._owner.classes, self._owner.tenants)
-        except CommandError as error:
-            # The length is known: the value is discarded, and the next command is found behind it.
-            self._discard_reason = str(error)
-            self._bytes_to_discard = value_bytes
-            self._discard_value()
-            return
-        self._pending_write = self._new_response(fields, write=True)
-        self.expect_value(value_bytes)
-
-    def _discard_value(self) -> None:
-        piece_bytes = min(self._bytes_to_discard, MAX_WRITE)
-        self._bytes_to_discard -= piece_bytes
-        self.expect_value(piece_bytes)
-
-    def valueReceived(self, data: bytes) -> None:
-        """Handle the value of a command, or a piece of one that is discarded."""
-        if self._discard_reason:
-            self._handle_discarded_piece()
-            return
-        response, self._pending_write = self._pending_write, None
-        assert response is not None
-        assert response.request is not None
-        if not data.endswith(b"\r\n"):
-            self._reject_and_close("bad data chunk")
-            return
-        response.request.value = data[:-2]
-        self._start_request(response)
-        self._arrival.command_complete()
-
-    def _handle_discarded_piece(self) -> None:
-        if self._bytes_to_discard:
-            self._discard_value()
-            return
-        reason, self._discard_reason = self._discard_reason, ""
-        self._reject_command(reason)
+    def probe_received(self) -> None:
+        """Answer whether this process serves."""
+        self._malformed_count = 0
+        self._owner.request_started(self)
+        self._send_line(SERVING if self._owner.serving.wanted else DRAINING)
 
-    def _new_response(self, fields: CommandFields, write: bool) -> PendingResponse:
-        """Return the pending response to a new request."""
+    def request_received(self, fields: CommandFields, write: bool, value: bytes) -> None:
+        """Start a request, whose response has its place behind those of the commands before it."""
         response = PendingResponse()
-        response.request = Request(
+        request = response.request = Request(
             id=fields.id,
             class_number=fields.class_number,
             tenant=fields.tenant,
             key=fields.key,
             write=write,
-            left_ms=fields.wait_ms,
-            value=b"",
+            # The client's timeout counts from the first byte, which may have been unread for a while, or have
+            # come long before the last one.
+            left_ms=self._arrival.remaining_ms(self._owner.timer_wheel.now(), fields.wait_ms),
+            value=value,
             info=fields.info,
             answer=partial(self._respond, response),
         )
-        return response
-
-    def _start_request(self, response: PendingResponse) -> None:
-        request = response.request
-        assert request is not None
         self._malformed_count = 0
-        # The client's timeout counts from the first byte, which may have been unread for a while, or have
-        # come long before the last one.
-        request.left_ms = self._arrival.remaining_ms(self._owner.timer_wheel.now(), request.left_ms)
         self._responses.pending.append(response)
         self._owner.request_started(self)
         if len(self._responses.pending) >= MAX_PIPELINED_COMMANDS:
@@ -234,10 +155,11 @@
         else:
             self._owner.dispatcher.accept(request)
 
-    def _reject_command(self, reason: str) -> None:
+    def reject_command(self, reason: str) -> None:
+        """Answer a malformed command, ever more slowly where one follows the other."""
         self._malformed_count += 1
         if self._malformed_count >= MAX_MALFORMED_COMMANDS:
-            self._reject_and_close(reason)
+            self.reject_and_close(reason)
             return
         if self._malformed_count > FREE_MALFORMED_COMMANDS:
             # A client that repeats malformed commands at once must not take the others' time.
@@ -245,14 +167,10 @@
             self._throttle(MALFORMED_COMMAND_PAUSE_MS)
         self._send_line(encode_error(reason))
 
-    def _reject_and_close(self, reason: str) -> None:
+    def reject_and_close(self, reason: str) -> None:
         """Reject a command behind which no other can be found; responses that are pending leave before."""
         self._send_last_line(encode_error(reason))
 
-    def framingLost(self, reason: str) -> None:
-        """Handle a line or value that is too long."""
-        self._reject_and_close(reason)
-
     # Responses ----------------------------------------------------------------------------------
 
     def _respond(self, response: PendingResponse, request: Request, answer: FinalAnswer) -> None:
@@ -346,7 +264,7 @@
             return self.close_between_requests()
         if self.ended or self._lost or self._throttled or self._has_unread_bytes():
             return False
-        self._reject_and_close("half a command")
+        self.reject_and_close("half a command")
         return True
 
     def close_between_requests(self, cut: bool = False) -> bool:
--- /dev/null
+++ b/cloverwell/front/command_receiver.py
@@ -0,0 +1,118 @@
+"""Cuts a client's bytes into memcache meta commands with their values, and does no more."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from cloverwell.codec.lines import MAX_LINE, MAX_WRITE, RingLineReceiver
+from cloverwell.codec.meta import CommandError, CommandFields
+from cloverwell.connections.arrival import CommandArrival
+from cloverwell.front.meta_commands import LostFramingError, parse_get, parse_set, parse_value_length
+
+
+class CommandReceiver(RingLineReceiver):
+    """Calls `request_received` for each request, once its value has come, and `probe_received` for each `mn`.
+
+    A malformed command goes to `reject_command`, or to `reject_and_close` where the next command can't be
+    found behind it.
+    """
+
+    in_bytes = MAX_WRITE + 2 * MAX_LINE
+
+    def __init__(self, classes: Mapping[str, int], tenants: Mapping[str, int]) -> None:
+        """`classes`, `tenants`: the number of each request class and of each tenant, by name."""
+        super().__init__()
+        self._classes = classes
+        self._tenants = tenants
+        self._arrival = CommandArrival()
+        self._pending_write: CommandFields | None = None  # of a command whose value has not come yet
+        self._bytes_to_discard = 0  # of the value of a malformed command
+        self._discard_reason = ""  # what is wrong with that command
+
+    def request_received(self, fields: CommandFields, write: bool, value: bytes) -> None:
+        """Handle a request; `value` is empty for a read."""
+        raise NotImplementedError
+
+    def probe_received(self) -> None:
+        """Handle the question whether this process serves."""
+        raise NotImplementedError
+
+    def reject_command(self, reason: str) -> None:
+        """Handle a malformed command behind which the next one is found."""
+        raise NotImplementedError
+
+    def reject_and_close(self, reason: str) -> None:
+        """Handle a malformed command behind which no other can be found."""
+        raise NotImplementedError
+
+    def lineReceived(self, line: bytes) -> None:
+        """Handle a command, or its first line if a value follows."""
+        if not line.isascii():
+            self.reject_command("not ASCII")
+            return
+        words = line.decode().split(" ")
+        match words[0]:
+            case "mn" if len(words) == 1:
+                self.probe_received()
+            case "mg":
+                self._handle_get(words)
+            case "ms":
+                self._handle_set(words)
+            case _:
+                self.reject_command("unknown command")
+        if not self._wanted:
+            self._arrival.command_complete()
+
+    def _handle_get(self, words: list[str]) -> None:
+        try:
+            fields = parse_get(words, self._classes, self._tenants)
+        except CommandError as error:
+            self.reject_command(str(error))
+            return
+        self.request_received(fields, False, b"")
+
+    def _handle_set(self, words: list[str]) -> None:
+        try:
+            length_bytes = parse_value_length(words)
+        except LostFramingError as error:
+            self.reject_and_close(str(error))
+            return
+        value_bytes = length_bytes + 2  # with its line end
+        try:
+            self._pending_write = parse_set(words, length_bytes, self._classes, self._tenants)
+        except CommandError as error:
+            # The length is known: the value is discarded, and the next command is found behind it.
+            self._discard_reason = str(error)
+            self._bytes_to_discard = value_bytes
+            self._discard_value()
+            return
+        self.expect_value(value_bytes)
+
+    def _discard_value(self) -> None:
+        piece_bytes = min(self._bytes_to_discard, MAX_WRITE)
+        self._bytes_to_discard -= piece_bytes
+        self.expect_value(piece_bytes)
+
+    def valueReceived(self, data: bytes) -> None:
+        """Handle the value of a command, or a piece of one that is discarded."""
+        if self._discard_reason:
+            self._handle_discarded_piece()
+            return
+        fields, self._pending_write = self._pending_write, None
+        assert fields is not None
+        if not data.endswith(b"\r\n"):
+            self.reject_and_close("bad data chunk")
+            return
+        self.request_received(fields, True, data[:-2])
+        self._arrival.command_complete()
+
+    def _handle_discarded_piece(self) -> None:
+        if self._bytes_to_discard:
+            self._discard_value()
+            return
+        reason, self._discard_reason = self._discard_reason, ""
+        self.reject_command(reason)
+
+    def framingLost(self, reason: str) -> None:
+        """Handle a line or value that is too long."""
+        self.reject_and_close(reason)
