Log a reason for each close, retry, refusal and change of state, and what a drain holds

Cause: of a drain the release logs one line, the call.

Change: client connections end with one of eleven reasons, connections to nodes with one of eleven and the ids of the requests on them; both are lines at the log's bounded rate and counters (`client_close.REASON`, `node_close.REASON`). Rejections, failures and further attempts name their request. Each change of the serving state is a line, so is a second SIGTERM, the operators' address at the start, and an operator's connection without a whole call. 4 s after a drain began, and at the end of a shutdown, one line names each connection that is still held with its state, age and open requests.

No behaviour changes.

--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -18,6 +18,7 @@
 from cloverwell.back.partial_write import PartialWrite
 from cloverwell.codec.lines import PEEK, RingLineReceiver
 from cloverwell.codec.steady_socket import TryAgainError
+from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.connections.connection_loss import ConnectionLoss
 from cloverwell.connections.node_policy import ConnectionUse
 from cloverwell.facade import AttemptOutcome
@@ -70,8 +71,8 @@
     def became_free(self, connection: NodeConnection) -> None:
         """Takes notice that the connection carries one attempt less, or none."""
 
-    def lost(self, connection: NodeConnection) -> None:
-        """Forgets a connection that has ended."""
+    def lost(self, connection: NodeConnection, reason: NodeCloseReason, requests: list[str]) -> None:
+        """Forgets a connection that has ended; `requests` are the ids of those with an attempt on it."""
 
     def reassign(self, attempt: Attempt) -> None:
         """Gives an attempt whose connection ended before its last byte to another connection."""
@@ -182,17 +183,17 @@
         assert partial is not None  # the timer is cancelled with it
         if self._pool.too_late(partial.attempt):
             self._partial_write = None
-            self.drop(AttemptOutcome.RESET)
+            self.drop(NodeCloseReason.TOO_LATE)
             partial.attempt.end(AttemptOutcome.NOT_CONNECTED)
             return
         now = self._pool.now()
         # The propagated deadline counts from the last byte on: a command that is later is written anew.
         if self._is_unusable() or partial.attempt.exceeded_deadline_by_ms(now) > 0.0:
-            self.drop(AttemptOutcome.RESET)
+            self.drop(NodeCloseReason.UNUSABLE)
             return
         untaken = partial.rest if self._writing else self.put_command(partial.rest)
         if untaken is None:
-            self.drop(AttemptOutcome.RESET)
+            self.drop(NodeCloseReason.UNUSABLE)
         elif untaken:
             partial.rest = untaken
             partial.timer = self._pool.later(self._pool.now() + self._pool.tick_ms, self._write_rest)
@@ -233,11 +234,11 @@
     def _answer_ended(self, named: bool = True) -> None:
         """Makes the connection free. A late duplicate of an answer without an id must not meet an attempt."""
         if self._close_after_answer:
-            self.drop(AttemptOutcome.RESET)
+            self.drop(NodeCloseReason.LAST_ANSWER)
         elif not self.attempts and self.unparsed:
             # A duplicate or noise behind a good answer would be read as the answer of the next attempt.
             self._pool.log.info("answer", f"more than the answer came from {self._pool.node}")
-            self.drop(AttemptOutcome.RESET)
+            self.drop(NodeCloseReason.SURPLUS)
         else:
             if not self.attempts:
                 self.idle_since_ms = self._pool.now()
@@ -256,7 +257,7 @@
     def framingLost(self, reason: str) -> None:
         """Drops the connection: what the node sent is malformed, or stopped short."""
         self._pool.log.warn("answer", f"malformed answer of {self._pool.node}: {reason}")
-        self.drop(AttemptOutcome.RESET)
+        self.drop(NodeCloseReason.MALFORMED)
 
     # A long value ---------------------------------------------------------------------------------
 
@@ -264,7 +265,7 @@
         """Ends the oldest attempt with a long value whose head is sound and whose body follows."""
         attempt = self._take_answered()
         stream = self.stream = StreamedValue(
-            length, self.hold, self.release, lambda: self.drop(AttemptOutcome.RESET)
+            length, self.hold, self.release, lambda: self.drop(NodeCloseReason.VALUE_DROPPED)
         )
         self.stream_data_ms = self._pool.now()
         self.transport.bufferSize = STREAM_READ_BYTES
@@ -299,7 +300,7 @@
     def give_up(self, attempt: Attempt, outcome: AttemptOutcome) -> bool:
         """Ends that attempt and with it the connection. Returns False if the attempt is not here."""
         if self._partial_write is not None and self._partial_write.attempt is attempt:
-            self.drop(outcome, attempt)
+            self.drop(NodeCloseReason.GIVEN_UP, outcome, attempt)
             return True
         if attempt not in self.attempts:
             return False
@@ -312,15 +313,21 @@
             return True
         if attempt is self.attempts[0] and self not in self._pool.partial_answers:
             self._pool.silent(self._age_ms, self._first_byte_ms)
-        self.drop(outcome, attempt)
+        self.drop(NodeCloseReason.GIVEN_UP, outcome, attempt)
         return True
 
-    def drop(self, outcome: AttemptOutcome, target: Attempt | None = None) -> None:
+    def drop(
+        self,
+        reason: NodeCloseReason,
+        outcome: AttemptOutcome = AttemptOutcome.RESET,
+        target: Attempt | None = None,
+    ) -> None:
         """Closes the connection, and ends `target` with that outcome and each other attempt with a reset."""
+        requests = self._request_ids()
         unsent = self._take_unsent()
         attempts, self.attempts = self.attempts, deque()
         self.end(abort=True)
-        self._pool.lost(self)
+        self._pool.lost(self, reason, requests)
         self._break_stream()
         for attempt in attempts:
             self._pool.close_attempt(attempt, outcome if attempt is target else AttemptOutcome.RESET)
@@ -330,6 +337,13 @@
         elif unsent is not None:
             self._pool.reassign(unsent)
 
+    def _request_ids(self) -> list[str]:
+        """Returns the ids of the requests that have an attempt here, one that is not written whole last."""
+        ids = [attempt.request.id for attempt in self.attempts]
+        if self._partial_write is not None:
+            ids.append(self._partial_write.attempt.request.id)
+        return ids
+
     def _take_unsent(self) -> Attempt | None:
         """Removes and returns the attempt whose last byte has not been written, if there is one."""
         partial, self._partial_write = self._partial_write, None
@@ -342,11 +356,12 @@
         """Ends the attempts with a reset; one whose last byte was not written goes to another connection."""
         by_node = not self.ended
         super().connectionLost(reason)
+        requests = self._request_ids()
         unsent = self._take_unsent()
         attempts, self.attempts = self.attempts, deque()
         if by_node:
             self._report_closed_by_node(attempts, unsent, by_reset=not reason.check(ConnectionDone))
-        self._pool.lost(self)
+        self._pool.lost(self, NodeCloseReason.RESET if requests else NodeCloseReason.BY_NODE, requests)
         self._break_stream()
         for attempt in attempts:
             attempt.end(AttemptOutcome.RESET)
--- a/cloverwell/back/origin_connection.py
+++ b/cloverwell/back/origin_connection.py
@@ -9,6 +9,7 @@
 from cloverwell.back.pool import Pool
 from cloverwell.codec.errors import MalformedMessageError
 from cloverwell.codec.http import HttpReceiver, encode_request
+from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.facade import AttemptOutcome
 from cloverwell.request import Attempt
 from cloverwell.streamed_value import LONG, LONGEST
@@ -70,7 +71,7 @@
         self.finish_attempt(outcome, body if outcome is AttemptOutcome.SERVED else b"", named=False)
         if closing:
             self.ended = False
-            self.drop(AttemptOutcome.RESET)
+            self.drop(NodeCloseReason.LAST_ANSWER)
 
     def _outcome(self, status: int, headers: dict[str, str], body: bytes) -> AttemptOutcome:
         if status == 200:
--- a/cloverwell/back/pool.py
+++ b/cloverwell/back/pool.py
@@ -14,6 +14,7 @@
 from cloverwell.back.pool_context import PoolContext
 from cloverwell.back.waiting_attempts import WaitingAttempts
 from cloverwell.connections.budget import DescriptorSide
+from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.connections.connect_retry import MAX_WAIT_MS
 from cloverwell.connections.connection_loss import ConnectionLoss
 from cloverwell.connections.metrics import ConnectionEvent
@@ -109,7 +110,7 @@
             return SendResult.BROKEN
         sent = connection.send(attempt, use)
         if sent is SendResult.BROKEN:
-            connection.drop(AttemptOutcome.RESET)
+            connection.drop(NodeCloseReason.UNUSABLE)
         elif sent is SendResult.OUT and age_ms is not None:
             self._metrics.add(ConnectionEvent.REUSED, self.node)
         return sent
@@ -287,7 +288,7 @@
         if not connection.free:
             return
         if self.left or connection.address_changed:
-            connection.drop(AttemptOutcome.RESET)
+            connection.drop(NodeCloseReason.NODE_LEFT)
             self.open_for_waiting()
             return
         self._idle.add(connection)
@@ -314,7 +315,7 @@
     def retire(self, connection: NodeConnection) -> None:
         """Closes an idle connection."""
         self._metrics.add(ConnectionEvent.RETIRED, self.node)
-        connection.drop(AttemptOutcome.RESET)
+        connection.drop(NodeCloseReason.RETIRED)
 
     def close_idle(self) -> None:
         """Closes all idle connections."""
@@ -338,15 +339,21 @@
             self._policy.connect_refused(self.node, len(self.connections) - 1, self.now())
         self._policy.lost(self.node, loss, self.now())
 
-    def lost(self, connection: NodeConnection) -> None:
-        """Forgets a connection that has ended."""
+    def lost(self, connection: NodeConnection, reason: NodeCloseReason, requests: list[str]) -> None:
+        """Forgets a connection that has ended; `requests` are the ids of those with an attempt on it."""
         self.partial_answers.pop(connection, None)
         if connection in self.connections:
+            self._note_close(reason, requests)
             self.connections.remove(connection)
             self._context.wake(self)
             self._context.budget.give_back(DescriptorSide.NODES)
         self._idle.discard(connection)
 
+    def _note_close(self, reason: NodeCloseReason, requests: list[str]) -> None:
+        self._metrics.add(ConnectionEvent.NODE_CLOSE, reason.value)
+        asked = f", requests {' '.join(requests)}" if requests else ""
+        self.log.info("node_close", f"{self.node}: {reason.value}{asked}")
+
     # The periodic sweep ----------------------------------------------------------------------------
 
     def sweep(self, now: float) -> None:
--- a/cloverwell/connections/client_policy.py
+++ b/cloverwell/connections/client_policy.py
@@ -17,10 +17,10 @@
 
 import math
 from dataclasses import dataclass
-from enum import Enum
 from typing import Generic, NamedTuple
 
 from cloverwell.connections.client_states import ClientStage, ClientStates, ClientT, idle_group
+from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.idle_statistics import ArrivalRate, IdleStatistics, PeakEstimate
 
 __all__ = ["ClientConnectionPolicy", "ClientStage", "CloseClient", "CloseReason"]
@@ -56,16 +56,6 @@
 RESERVE = ReserveLimits(least=4, max_share=0.25)
 
 
-class CloseReason(Enum):
-    """Why a client's connection is closed; the values name counters."""
-
-    SILENT = "silent"  # It has never sent a request.
-    PARTIAL_COMMAND = "half"
-    IDLE = "idle"  # It has been idle too long.
-    CLOSE_TIMEOUT = "linger"  # It has not closed its side after ours.
-    MAKE_ROOM = "room"  # It is idle, and another client needs the descriptor.
-
-
 @dataclass(slots=True, frozen=True)
 class CloseClient(Generic[ClientT]):
     """A connection to close; `abort`: free its descriptor now, without waiting for the client's close."""
--- a/cloverwell/connections/metrics.py
+++ b/cloverwell/connections/metrics.py
@@ -22,11 +22,13 @@
     STALE = "stale"  # An attempt was lost at once on one that had been idle.
     CAUGHT = "caught"  # The same before the attempt's last byte was written: it was sent elsewhere.
     RESET = "reset"  # An attempt was lost on a new or busy one.
+    NODE_CLOSE = "node_close"  # One has ended, by its reason.
     # Connections of clients.
     ADMITTED = "admitted"  # A connection was accepted.
     CLIENT_CLOSED = "closed_front"  # The proxy closed one.
     CLOSE_SKIPPED = "spared"  # One was to be closed, but a request or response was unread.
     REQUEST_REFUSED = "request_refused"  # A request was rejected for want of descriptors.
+    CLIENT_CLOSE = "client_close"  # One has ended, by its reason.
     PAUSED = "paused"  # No connection was accepted for a while.
 
 
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -59,12 +59,12 @@
         request.deadline_ms = now + request.left_ms
         if request.id in self._open:
             # Ids are never used twice: one that is would mix up two clients' answers.
-            self._counts.add("failed.twice")
+            self._note_failed(request, "twice")
             request.finish(Failed())
             return
         bound = self._facade.settings.max_open
         if bound and len(self._open) >= bound:
-            self._counts.add("refused.open")
+            self._note_rejected(request, "open")
             request.finish(Rejected(self._facade.settings.max_retry_after_ms))
             return
         self._open[request.id] = request
@@ -154,14 +154,22 @@
             case f.SendAttempt():
                 self._start_attempt(decision, request)
             case f.RejectRequest(_, retry_after_ms, reason):
-                self._counts.add(f"refused.{reason}")
+                self._note_rejected(request, reason)
                 request.finish(Rejected(retry_after_ms))
                 self._forget_if_done(request)
             case f.FailRequest(_, reason):
-                self._counts.add(f"failed.{reason}")
+                self._note_failed(request, reason)
                 request.finish(Failed())
                 self._forget_if_done(request)
 
+    def _note_rejected(self, request: Request, reason: str) -> None:
+        self._counts.add(f"refused.{reason}")
+        self._log.info("refused", f"request {request.id}: {reason}")
+
+    def _note_failed(self, request: Request, reason: str) -> None:
+        self._counts.add(f"failed.{reason}")
+        self._log.info("failed", f"request {request.id}: {reason}")
+
     def _start_attempt(self, decision: f.SendAttempt, request: Request) -> None:
         now = self._wheel.now()
         settings = self._facade.settings
@@ -177,6 +185,8 @@
         attempt = Attempt(
             decision, request, write_by_ms, self._ended, pool, deadline_ms, costly, asked_ms=now
         )
+        if decision.number:
+            self._note_further_attempt(attempt)
         request.attempts[decision.number] = attempt
         attempt.timer = self._wheel.not_before(deadline_ms, lambda: self._time_out(attempt))
         if request.next_attempt_from_ms > now:
@@ -184,6 +194,18 @@
         else:
             pool.start(attempt)
 
+    def _note_further_attempt(self, attempt: Attempt) -> None:
+        """Logs a retry or a hedged request; what a miss sends to the origin is neither."""
+        request = attempt.request
+        if request.attempts:
+            cause = "hedged"
+        elif request.last_outcome in (None, AttemptOutcome.MISS):
+            return
+        else:
+            cause = f"after {request.last_outcome.value.value}"
+        node, number = attempt.choice.node, attempt.choice.number
+        self._log.info("retry", f"request {request.id}: attempt {number} at {node}, {cause}")
+
     def _start_after_close(self, attempt: Attempt) -> None:
         """Starts an attempt once the close of the one before has reached its node.
 
@@ -205,6 +227,7 @@
         request = attempt.request
         self._counts.add(f"{attempt.pool.kind}.{outcome.value.value}")
         request.attempts.pop(attempt.choice.number, None)
+        request.last_outcome = outcome
         self._count_exceeded_deadline(attempt)
         if outcome not in f.NEVER_RAN and attempt.written_ms is not None:
             from_ms = attempt.written_from_ms
--- a/cloverwell/front/client_closer.py
+++ b/cloverwell/front/client_closer.py
@@ -5,7 +5,8 @@
 from collections.abc import Sequence
 
 from cloverwell.codec.lines import unsent
-from cloverwell.connections.client_policy import ClientConnectionPolicy, CloseClient, CloseReason
+from cloverwell.connections.client_policy import ClientConnectionPolicy, CloseClient
+from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.metrics import ConnectionEvent, ConnectionMetrics
 from cloverwell.front.client_connection import ClientConnection
 from cloverwell.timer_wheel import TimerWheel
@@ -49,9 +50,10 @@
             connection.transport.abortConnection()
             return True
         if choice.reason is CloseReason.IDLE and connection.has_unsent_responses:
+            connection.closing_because(choice.reason)
             connection.end(abort=True)  # No request has so much time: nobody waits for that response.
             return True
-        if not connection.close_overdue():
+        if not connection.close_overdue(choice.reason):
             return False
         if choice.abort:
             connection.transport.abortConnection()
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -13,6 +13,7 @@
 from cloverwell.codec.lines import PEEK, hung_up
 from cloverwell.codec.meta import CommandFields
 from cloverwell.codec.steady_socket import TryAgainError
+from cloverwell.connections.close_reason import CloseReason
 from cloverwell.front.command_receiver import CommandReceiver
 from cloverwell.front.connection_owner import ConnectionOwner
 from cloverwell.front.meta_answers import BUSY, DRAINING, SERVING, encode_answer, encode_error
@@ -38,9 +39,11 @@
     piece_bytes = STREAM_PIECE_BYTES
     transport: Any  # Twisted's TCP transport, which is also a producer of bytes
 
-    def __init__(self, owner: ConnectionOwner[ClientConnection]) -> None:
-        """Create the connection of a client that has just been accepted."""
+    def __init__(self, owner: ConnectionOwner[ClientConnection], peer: str = "") -> None:
+        """Create the connection of a client that has just been accepted; `peer` is its address."""
         super().__init__(owner.classes, owner.tenants)
+        self.peer = peer
+        self.close_reason: CloseReason | None = None  # why this side closes it, once it does
         self._owner = owner
         self._responses = ResponseQueue(self, owner)
         self._malformed_count = 0  # malformed commands in a row
@@ -150,7 +153,7 @@
         self._owner.request_started(self)
         if len(self._responses.pending) >= MAX_PIPELINED_COMMANDS:
             self.hold()
-        if self._owner.overloaded():
+        if self._owner.rejects(request):
             request.finish(Rejected(self._owner.retry_after_ms))
         else:
             self._owner.dispatcher.accept(request)
@@ -169,6 +172,7 @@
 
     def reject_and_close(self, reason: str) -> None:
         """Reject a command behind which no other can be found; responses that are pending leave before."""
+        self.closing_because(CloseReason.MALFORMED)
         self._send_last_line(encode_error(reason))
 
     # Responses ----------------------------------------------------------------------------------
@@ -203,7 +207,7 @@
                 return
             # A client that always sends its next request at once is never seen idle by the periodic check.
             if not (self._parsing or self.awaits_first_request) and self._owner.closes_between_requests():
-                self.close_between_requests()
+                self.close_between_requests(CloseReason.DRAIN)
         if len(pending) >= MAX_PIPELINED_COMMANDS:
             self.hold()
         elif not self._lost and not self._throttled:
@@ -214,6 +218,20 @@
         self._responses.resume_stream()
         self.send_responses()
 
+    @property
+    def state_words(self) -> list[str]:
+        """What keeps the connection open, in words for a log line."""
+        states = {
+            "new": self._nothing_read,
+            "responses pending": bool(self._responses.pending),
+            "half a command": self.has_partial_command,
+            "answers unsent": self._writing,
+            "reading paused": self._held or self._throttled,
+            "bytes unread": not self.ended and self._has_unread_bytes(),
+            "our side closed": self.ended,
+        }
+        return [word for word, holds in states.items() if holds] or ["idle"]
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that wait in the outgoing buffer."""
@@ -255,19 +273,36 @@
 
     def abandon(self) -> list[Request]:
         """Abort the connection of a client that has disconnected; return its open requests, to be ended."""
+        self.closing_because(CloseReason.LEFT)
         self.end(abort=True)
         return self._responses.abandon()
 
-    def close_overdue(self) -> bool:
+    def closing_because(self, reason: CloseReason) -> None:
+        """Record why this side closes the connection; the first reason counts."""
+        if self.close_reason is None:
+            self.close_reason = reason
+
+    @property
+    def open_request_ids(self) -> list[str]:
+        """The ids of its open requests, in the order of their commands."""
+        return self._responses.open_request_ids
+
+    @property
+    def age_ms(self) -> float:
+        """How long ago it was accepted."""
+        return self._owner.timer_wheel.now() - self._created_ms
+
+    def close_overdue(self, reason: CloseReason) -> bool:
         """Close a connection that has had no open request for too long; return whether it could be closed."""
         if not self.has_partial_command:
-            return self.close_between_requests()
+            return self.close_between_requests(reason)
         if self.ended or self._lost or self._throttled or self._has_unread_bytes():
             return False
+        self.closing_because(reason)
         self.reject_and_close("half a command")
         return True
 
-    def close_between_requests(self, cut: bool = False) -> bool:
+    def close_between_requests(self, reason: CloseReason, cut: bool = False) -> bool:
         """Close between requests, if no request can be lost by it; return whether it was closed.
 
         `cut`: close also behind a partial command. While malformed commands pause the reading, complete
@@ -277,6 +312,7 @@
             return False
         if (not cut and not self.between_requests) or self._has_unread_bytes():
             return False
+        self.closing_because(reason)
         if self.has_partial_command:
             # The rest of the command would complete a request, which must get a response.
             self._send_last_line(BUSY)
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -11,13 +11,16 @@
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.budget import DescriptorBudget, DescriptorSide
 from cloverwell.connections.client_policy import MAX_ACCEPTS_PER_ITERATION, ClientConnectionPolicy
+from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.metrics import ConnectionEvent, ConnectionMetrics
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.front.client_closer import ClientCloser
 from cloverwell.front.client_connection import ClientConnection
+from cloverwell.front.connection_report import describe_held
 from cloverwell.front.disconnect_detector import DisconnectDetector
 from cloverwell.front.port import BoundedFactory
 from cloverwell.log import Log
+from cloverwell.request import Request
 from cloverwell.serving import Serving
 from cloverwell.streamed_value import ahead
 from cloverwell.timer_wheel import TimerWheel
@@ -114,7 +117,8 @@
         # A `BoundedPort` asks `may_accept` before; a listener that does not is held to the budget here.
         if not self._budget.room(DescriptorSide.CLIENTS):
             return None
-        connection = ClientConnection(self)
+        host = getattr(addr, "host", "")
+        connection = ClientConnection(self, f"{host}:{getattr(addr, 'port', 0)}")
         if (since_ms := self._queue.accepted()) is not None:
             connection.waited_in_accept_queue(since_ms)
             if not self._connection_waits():
@@ -122,7 +126,7 @@
         self._budget.take(DescriptorSide.CLIENTS)
         self.connections[connection] = None
         self._metrics.add(ConnectionEvent.ADMITTED)
-        self.policy.opened(connection, self.timer_wheel.now(), getattr(addr, "host", ""))
+        self.policy.opened(connection, self.timer_wheel.now(), host)
         self._keep_room()
         return connection
 
@@ -159,6 +163,7 @@
     def _resume_accepting(self) -> None:
         if self._full and self._budget.room(DescriptorSide.CLIENTS):
             self._full = False
+            self._log.info("accept", "connections are accepted again")
             if self.port is not None:
                 self.port.resumeProducing()
 
@@ -188,19 +193,26 @@
         if connection not in self.connections:
             return
         self.connections.pop(connection)
+        self._note_close(connection)
         self.reading_paused.pop(connection, None)
         self._budget.give_back(DescriptorSide.CLIENTS)
         self.policy.closed(connection)
         self._resume_accepting()
 
-    def overloaded(self) -> bool:
-        """Return whether so many clients have open requests that new ones are rejected.
+    def _note_close(self, connection: ClientConnection) -> None:
+        reason = connection.close_reason or CloseReason.BY_CLIENT
+        self._metrics.add(ConnectionEvent.CLIENT_CLOSE, reason.value)
+        self._log.info("close", f"{connection.peer}: {reason.value}, open for {connection.age_ms:.0f} ms")
+
+    def rejects(self, request: Request) -> bool:
+        """Return whether so many clients have open requests that this new one is rejected.
 
         Without that, descriptors would run out: an accept that fails would lose requests.
         """
         if self.policy.states.active_count <= self._budget.max_active_clients:
             return False
         self._metrics.add(ConnectionEvent.REQUEST_REFUSED)
+        self._log.info("refused", f"request {request.id}: descriptors")
         return True
 
     def closes_between_requests(self) -> bool:
@@ -278,8 +290,12 @@
         if self._budget.other_can_release(DescriptorSide.NODES):
             self._closer.close(self.policy.to_make_room(self.timer_wheel.now(), 1, 0), 1)
 
+    def describe_held(self) -> str:
+        """Return one line on the connections that are open now."""
+        return describe_held(self.connections)
+
     def close_between_requests(self, cut: bool = False) -> None:
         """Close each connection that is between requests; `cut`: also behind a partial command."""
         for connection in list(self.connections):
             if not connection.awaits_first_request:
-                connection.close_between_requests(cut)
+                connection.close_between_requests(CloseReason.DRAIN, cut)
--- a/cloverwell/front/connection_owner.py
+++ b/cloverwell/front/connection_owner.py
@@ -5,6 +5,7 @@
 from typing import Protocol, TypeVar
 
 from cloverwell.dispatcher import Dispatcher
+from cloverwell.request import Request
 from cloverwell.serving import Serving
 from cloverwell.timer_wheel import TimerWheel
 
@@ -52,8 +53,8 @@
     def clients_disconnected(self, connections: list[ConnectionT]) -> None:
         """End all that is open for clients that have closed their connections, at once."""
 
-    def overloaded(self) -> bool:
-        """Return whether new requests are rejected because too many clients have open ones."""
+    def rejects(self, request: Request) -> bool:
+        """Return whether a new request is rejected because too many clients have open ones."""
 
     def closes_between_requests(self) -> bool:
         """Return whether a connection without an open request is to be closed."""
--- a/cloverwell/front/operators.py
+++ b/cloverwell/front/operators.py
@@ -87,11 +87,15 @@
     def buildProtocol(self, _addr: IAddress | None) -> OperatorConnection:
         """Make a connection, and close the oldest where there are too many."""
         while len(self.connections) >= MAX_OPERATOR_CONNECTIONS:
-            next(iter(self.connections)).close()
+            next(iter(self.connections)).close("for a newer one")
         connection = OperatorConnection(self)
         self.connections[connection] = None
         return connection
 
+    def closed_without_call(self, reason: str) -> None:
+        """Log that a connection was closed before its call was complete."""
+        self._log.info("operator", f"a connection was closed without a call: {reason}")
+
     # Calls --------------------------------------------------------------------------------------
 
     def answer(self, method: str, path: str) -> OperatorResponse:
@@ -128,13 +132,16 @@
         self._request: h11.Request | None = None
         self._body_bytes = 0
         self._answered = False
+        self._close_reason = "by the caller"
         self._timer: Timer | None = None
 
     def connectionMade(self) -> None:
         """Start the call's timeout."""
         steady(self.transport)
         timer_wheel = self._owner.timer_wheel
-        self._timer = timer_wheel.at(timer_wheel.now() + CALL_TIMEOUT_MS, self.close)
+        self._timer = timer_wheel.at(
+            timer_wheel.now() + CALL_TIMEOUT_MS, lambda: self.close("it took too long")
+        )
 
     def dataReceived(self, data: bytes) -> None:
         """Handle bytes from the operator; what comes after the call is discarded."""
@@ -189,8 +196,9 @@
         # A close of both sides with bytes unread would be a reset, and the response might not be read.
         self.transport.loseWriteConnection()
 
-    def close(self) -> None:
-        """Abort the connection."""
+    def close(self, reason: str) -> None:
+        """Abort the connection; `reason` is for the log."""
+        self._close_reason = reason
         self._owner.connections.pop(self, None)
         self.transport.abortConnection()
 
@@ -198,5 +206,7 @@
         """Handle the end of the connection."""
         super().connectionLost(reason)
         self._owner.connections.pop(self, None)
+        if not self._answered:
+            self._owner.closed_without_call(self._close_reason)
         if self._timer is not None:
             self._timer.cancel()
--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import Any, Protocol
 
+from cloverwell.connections.close_reason import CloseReason
 from cloverwell.front.connection_owner import ConnectionOwner
 from cloverwell.front.meta_answers import FAILED
 from cloverwell.front.pending_response import PendingResponse
@@ -26,6 +27,9 @@
     def end(self, abort: bool = False) -> None:
         """Close the connection."""
 
+    def closing_because(self, reason: CloseReason) -> None:
+        """Record why the connection is closed."""
+
     def send_responses(self) -> None:
         """Send the responses that are known, and go on with what depends on that."""
 
@@ -47,6 +51,11 @@
         """Whether a request is open."""
         return any(response.request is not None for response in self.pending)
 
+    @property
+    def open_request_ids(self) -> list[str]:
+        """The ids of the open requests, in the order of their commands."""
+        return [response.request.id for response in self.pending if response.request is not None]
+
     def send(self) -> None:
         """Send the responses that are known, in the order of the commands, as far as there is room."""
         pending = self.pending
@@ -97,9 +106,11 @@
             )  # There is room: the buffer is larger than what streams leave in it.
             self._connection.send_responses()
         else:
+            self._connection.closing_because(CloseReason.BROKEN_VALUE)
             self._connection.end()  # The client can tell by the length that the value is incomplete.
 
     def stream_failed(self) -> None:
         """Abort the connection: a piece of a streamed value could not be sent."""
         self._stream = None
+        self._connection.closing_because(CloseReason.NOT_SENT)
         self._connection.end(abort=True)
--- a/cloverwell/metrics_log.py
+++ b/cloverwell/metrics_log.py
@@ -17,6 +17,8 @@
     ConnectionEvent.STALE,
     ConnectionEvent.RESET,
 )
+# The events whose reasons are counted one by one, as `EVENT.REASON`.
+EVENTS_BY_REASON = (ConnectionEvent.CLIENT_CLOSE, ConnectionEvent.NODE_CLOSE)
 
 
 class MetricsLog:
@@ -31,6 +33,7 @@
         self._metrics = metrics
         self._counters = counters
         self._counted_totals = dict.fromkeys(COUNTED_EVENTS, 0)
+        self._counted_reasons: dict[tuple[ConnectionEvent, str], int] = {}
 
     def start(self) -> None:
         """Begins the periodic lines; a line that would be empty is left out."""
@@ -65,3 +68,9 @@
             if total != counted:
                 self._counters.add(f"connections.{event.value}", total - counted)
                 self._counted_totals[event] = total
+        for event in EVENTS_BY_REASON:
+            for reason, total in self._metrics.by(event).items():
+                counted = self._counted_reasons.get((event, reason), 0)
+                if total != counted:
+                    self._counters.add(f"{event.value}.{reason}", total - counted)
+                    self._counted_reasons[event, reason] = total
--- a/cloverwell/proxy.py
+++ b/cloverwell/proxy.py
@@ -4,7 +4,7 @@
 
 import socket
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import TYPE_CHECKING, Protocol, TypeVar, cast
 
 from twisted.internet.protocol import Factory
 
@@ -26,6 +26,8 @@
 
 OPERATOR_BACKLOG = 16
 
+T = TypeVar("T")
+
 
 class Listen(Protocol):
     """How a port is opened: `front.port.listen` in a real process."""
@@ -101,7 +103,7 @@
         self._metrics_log = MetricsLog(parts.timer_wheel, log, parts.metrics, parts.counts)
         self._handover = HandoverCoordinator(config, log, parts, self._client_port, predecessor)
         self._shutdown = GracefulShutdown(
-            parts.timer_wheel, parts.serving, parts.dispatcher, parts.side, self._client_port, self._end
+            parts.timer_wheel, parts.serving, parts.dispatcher, parts.side, self._client_port, log, self._end
         )
 
     # Start --------------------------------------------------------------------------------------------
@@ -120,6 +122,8 @@
             self._open_operator_port(listen, *self._config.operator)
             if folder:
                 self._handover.open(self._reactor, folder)
+        else:
+            self._log.info("operator", "no address is configured, no call is answered")
         if self._config.control is None:
             self._serve()
         else:
@@ -141,6 +145,7 @@
 
         operators = Operators(self, self.timer_wheel, self._log)
         self._operator_port = listen(self._reactor, host, port, operators, OPERATOR_BACKLOG)
+        self._log.info("operator", f"calls are answered at {host}:{port}")
 
     def _follow_control(self) -> None:
         """Whoever connects waits until this proxy is caught up with the control log, for a bounded time."""
@@ -159,7 +164,7 @@
 
     def _serve(self) -> None:
         self._client_port.attach()
-        self.serving.serve()
+        self._change_state(self.serving.serve)
         self._handover.watch_predecessor(self._reactor)
         host, port = self._config.listen
         self._log.info("start", f"{self._config.name or 'proxy'} serves on {host}:{port}")
@@ -220,13 +225,13 @@
 
         Returns whether the process is drained now.
         """
-        drained = self.serving.drain(self.timer_wheel.now())
+        drained = self._change_state(lambda: self.serving.drain(self.timer_wheel.now()))
         self._shutdown.begin()
         return drained
 
     def undrain(self) -> bool:
         """Takes a drain back; returns whether the process is ready now."""
-        return self.serving.undrain()
+        return self._change_state(self.serving.undrain)
 
     def configuration(self) -> str | None:
         """One line on the active version of the configuration; None without a control log."""
@@ -238,10 +243,21 @@
         """Begins a graceful shutdown: all open requests are answered, then the program ends."""
         longest_deadline_ms = max(cls.deadline_ms for cls in self._config.settings.classes)
         now = self.timer_wheel.now()
-        if self.serving.stop(now, longest_deadline_ms, self._handover.successor_serves):
+        handed_over = self._handover.successor_serves
+        if self._change_state(lambda: self.serving.stop(now, longest_deadline_ms, handed_over)):
             self._log.info("stop", f"draining, {self.dispatcher.open_count} requests open")
             self.dispatcher.answer_all_by(self.serving.answer_by_ms())
             self._shutdown.begin()
+        else:
+            self._log.info("stop", "asked again, the shutdown goes on as it has begun")
+
+    def _change_state(self, change: Callable[[], T]) -> T:
+        """Makes a change of the serving state, and logs what it was and is."""
+        before = self.serving.state
+        result = change()
+        if self.serving.state is not before:
+            self._log.info("serving", f"{before.value} -> {self.serving.state.value}")
+        return result
 
     def _end(self) -> None:
         if self._operator_port is not None:
--- a/cloverwell/request.py
+++ b/cloverwell/request.py
@@ -122,6 +122,7 @@
     deadline_ms: float = 0.0
     over: bool = False
     attempts: dict[int, Attempt] = field(default_factory=dict)  # those in flight, by number
+    last_outcome: AttemptOutcome | None = None  # of the attempt that ended last
     first_run_ms: float | None = None  # the clock before the write of the first attempt that may have run
     # No new attempt is written before: until then a closed one may still be at its node.
     next_attempt_from_ms: float = 0.0
--- a/cloverwell/serving.py
+++ b/cloverwell/serving.py
@@ -74,7 +74,7 @@
         self.state = ServingState.STARTING
         self._schedule: DrainSchedule | None = None
         self._handed_over = False
-        self._since_ms = 0.0
+        self.since_ms = 0.0  # when the drain or shutdown began
 
     # Changes: each returns whether the state is now the one asked for ---------------------------------
 
@@ -88,7 +88,7 @@
         if self.state is ServingState.READY:
             self.state = ServingState.DRAINED
             self._schedule = DRAIN_SCHEDULE
-            self._since_ms = now
+            self.since_ms = now
         return self.state is ServingState.DRAINED
 
     def undrain(self) -> bool:
@@ -108,7 +108,7 @@
         self.state = ServingState.STOPPING
         self._schedule = shutdown_schedule(longest_deadline_ms, handed_over)
         self._handed_over = handed_over
-        self._since_ms = now
+        self.since_ms = now
         return True
 
     # What follows from the state ----------------------------------------------------------------------
@@ -130,16 +130,16 @@
 
     def accepts(self, now: float) -> bool:
         """New connections are accepted."""
-        return self._schedule is None or now - self._since_ms < self._schedule.accept_ms
+        return self._schedule is None or now - self.since_ms < self._schedule.accept_ms
 
     def closes_idle_connections(self, now: float) -> bool:
         """Connections are closed between requests."""
-        return self._schedule is not None and now - self._since_ms >= self._schedule.close_idle_ms
+        return self._schedule is not None and now - self.since_ms >= self._schedule.close_idle_ms
 
     def closes_mid_command(self, now: float) -> bool:
         """Connections are closed also where half a command has come."""
-        return self._schedule is not None and now - self._since_ms >= self._schedule.close_mid_command_ms
+        return self._schedule is not None and now - self.since_ms >= self._schedule.close_mid_command_ms
 
     def answer_by_ms(self) -> float:
         """The time by which all requests must have been answered; infinite while there is none."""
-        return math.inf if self._schedule is None else self._since_ms + self._schedule.answer_ms
+        return math.inf if self._schedule is None else self.since_ms + self._schedule.answer_ms
--- /dev/null
+++ b/tests/test_close_reasons.py
@@ -0,0 +1,193 @@
+"""What the log and the counters say of each close, retry, rejection and failure, and of a drain that ends."""
+
+import pytest
+from rig import read, write
+from scenario import Player
+
+from cloverwell.front.connection_report import MAX_CONNECTIONS, MAX_REQUEST_IDS, describe_held
+from cloverwell.graceful_shutdown import DRAIN_REPORT_MS
+from cloverwell.log import MAX_LINES_PER_SECOND
+
+HIT = b"VA 1 O%d\r\nx\r\n"
+
+
+def lines(proxy, kind):
+    """The texts of the log's lines of that kind."""
+    logged = [line.split(" ", 2)[2] for line in proxy.log.getvalue().splitlines()]
+    return [line.partition(": ")[2] for line in logged if line.startswith(f"{kind}: ")]
+
+
+def reasons(proxy, kind):
+    """The reasons of the closes of that kind."""
+    return [line.partition(": ")[2].split(",")[0] for line in lines(proxy, kind)]
+
+
+# Clients' connections -----------------------------------------------------------------------------
+
+
+def test_a_close_by_the_client_and_one_with_an_open_request_are_told_apart(rig):
+    proxy = rig()
+    idle, waiting = proxy.client(b"mn\r\n"), proxy.client(read(1))
+    proxy.got(proxy.nodes[0].take(), b"mg k1 ")
+    idle.close()
+    waiting.close()
+    proxy.until(lambda: not proxy.service.side.connections)
+    assert sorted(reasons(proxy, "close")) == ["by_client", "left"]
+
+
+@pytest.mark.parametrize(
+    ("first_bytes", "wait_ms", "reason"),
+    [
+        (b"", 2200, "silent"),
+        (b"mg k1 v", 2700, "half"),
+        (b"mn\r\n", 10_400, "idle"),
+        (b"ms k1 x\r\n", 100, "malformed"),
+    ],
+)
+def test_a_close_by_this_side_has_its_reason(rig, first_bytes, wait_ms, reason):
+    proxy = rig()
+    conn = proxy.client(first_bytes)
+    proxy.skip(wait_ms)
+    assert proxy.ended(conn).endswith(b"END")
+    conn.close()
+    proxy.until(lambda: not proxy.service.side.connections)
+    assert reasons(proxy, "close") == [reason]
+
+
+def test_closes_of_a_drain_are_logged_at_a_bounded_rate_and_all_counted():
+    player = Player()
+    number = 4 * MAX_LINES_PER_SECOND
+    for place in range(1, number + 1):
+        player.play(f"client#{place} send mn\nclient#{place} expect MN")
+    player.service.drain()
+    player.play("wait 450")
+    for place in range(1, number + 1):
+        player.play(f"client#{place} close orderly")
+    assert len(lines(player, "close")) == MAX_LINES_PER_SECOND
+    player.play("wait 5000")
+    assert f"client_close.drain={number}" in player.log.getvalue()
+
+
+def test_at_the_end_of_a_drain_what_is_held_is_named(rig):
+    proxy = rig()
+    proxy.client(write(1, 9000) + write(2, 9000))
+    proxy.got(proxy.origin.take(), b"PUT /k1 ")
+    proxy.service.drain()
+    over_ms = proxy.service.serving.since_ms + DRAIN_REPORT_MS
+    while proxy.now() < over_ms - 100:
+        proxy.skip(5)
+    assert not lines(proxy, "held")
+    proxy.skip(150)
+    (line,) = lines(proxy, "held")
+    assert line.startswith("1 connections of clients are held: 127.0.0.1:")
+    assert "responses pending" in line
+    assert line.endswith("requests 1 2")
+
+
+def test_at_the_end_of_a_drain_that_was_taken_back_nothing_is_said(rig):
+    proxy = rig()
+    proxy.client()
+    proxy.service.drain()
+    proxy.skip(500)
+    proxy.service.undrain()
+    proxy.skip(4000)
+    assert not lines(proxy, "held")
+    proxy.service.drain()
+    proxy.skip(4100)
+    assert lines(proxy, "held") == ["no connection of a client is held"]
+
+
+class Held:
+    peer = "127.0.0.9:1"
+    state_words = ("responses pending", "answers unsent")
+    age_ms = 1234.0
+
+    def __init__(self, ids):
+        self.open_request_ids = [f"r{number}" for number in range(ids)]
+
+
+def test_the_line_of_what_is_held_is_bounded():
+    connections = [Held(MAX_REQUEST_IDS + 2) for _ in range(MAX_CONNECTIONS + 3)]
+    line = describe_held(connections)
+    assert line.startswith(
+        f"{len(connections)} connections of clients are held: 127.0.0.9:1, open for 1234 ms"
+    )
+    assert line.count("requests r0 r1 r2 r3 r4 and 2 more") == MAX_CONNECTIONS
+    assert line.endswith(" and 3 more")
+
+
+# Nodes' connections -------------------------------------------------------------------------------
+
+
+def test_a_reset_by_a_node_names_the_requests_that_it_met_and_the_retry():
+    player = Player()
+    player.play("client send mg k1 v O1 Pc=page,t=acme,d=900\ns1 expect mg k1 *\ns1 close\nwait 20")
+    assert lines(player, "node_close") == ["s1: reset, requests 1"]
+    assert lines(player, "retry") == ["request 1: attempt 1 at s1, after reset"]
+
+
+def test_a_connection_that_is_given_up_names_its_request():
+    player = Player()
+    player.play("client send ms k1 1 O7 Pc=order,t=acme,d=300|a\norigin expect PUT /k1*\nwait 400")
+    assert lines(player, "node_close") == ["origin: given_up, requests 7"]
+    assert lines(player, "failed") == ["request 7: spent"]
+
+
+# Requests -----------------------------------------------------------------------------------------
+
+
+def test_a_retry_names_its_request_and_why_a_fetch_after_a_miss_is_none():
+    player = Player(nodes=2)
+    player.play("client send mg k1 v O1 Pc=page,t=acme,d=900")
+    owner = "s1" if player.next_asked("s1") else "s2"
+    player.opened.clear()
+    player.asked = 0
+    player.play(f"{owner} expect mg k1 *\n{owner} send SERVER_ERROR failed\nwait 20")
+    (retry,) = lines(player, "retry")
+    assert retry.startswith("request 1: attempt 1 at ")
+    assert retry.endswith(", after error")
+    player = Player()
+    player.play("client send mg k1 v O1 Pc=page,t=acme,d=900\ns1 expect mg k1 *\ns1 send EN O1")
+    player.play("origin expect GET /k1*")
+    assert not lines(player, "retry")
+
+
+def test_a_rejection_for_want_of_descriptors_names_its_request(rig):
+    proxy = rig(sockets=64)
+    for number in range(40):
+        proxy.client(write(number, 1900))
+    assert any(line.endswith(": descriptors") for line in lines(proxy, "refused"))
+
+
+# The process --------------------------------------------------------------------------------------
+
+
+def test_each_change_of_the_serving_state_is_a_line():
+    player = Player(operator=True)
+    player.play("operator send PUT /drain\noperator#2 send PUT /drain\noperator#3 send PUT /undrain")
+    player.play("proxy close\nproxy close")
+    assert lines(player, "serving") == [
+        "starting -> ready",
+        "ready -> drained",
+        "drained -> ready",
+        "ready -> stopping",
+    ]
+    assert "asked again, the shutdown goes on as it has begun" in lines(player, "stop")
+
+
+@pytest.mark.parametrize("operator", [True, False])
+def test_the_log_says_where_operators_are_answered_or_that_they_are_not(operator):
+    said = lines(Player(operator=operator), "operator")
+    where = "calls are answered at 127.0.0.1:11212"
+    assert said == [where if operator else "no address is configured, no call is answered"]
+
+
+def test_an_operators_connection_without_a_call_is_told():
+    player = Player(operator=True)
+    player.play("operator send GET /ready HTTP/1.1|Host: x\noperator#2 send GET /rea HTTP/1.1|Host: x")
+    player.play("operator#2 close\nwait 5100")
+    said = lines(player, "operator")[1:]
+    assert said == [
+        "a connection was closed without a call: by the caller",
+        "a connection was closed without a call: it took too long",
+    ]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -92,7 +92,7 @@
 def test_who_is_turned_away_for_want_of_descriptors_is_told_the_sites_own_time(limits, answer):
     # It was 1000 ms also where clients are told none.
     player = Player(settings=SETTINGS | {"limits": SETTINGS["limits"] | limits})
-    player.service.side.overloaded = lambda: True
+    player.service.side.rejects = lambda request: True
     player.play(f"client send mg k v O1 Pc=page,t=acme,d=900\nclient expect SERVER_ERROR {answer}")
 
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -13,6 +13,7 @@
 
 from cloverwell.codec import lines
 from cloverwell.codec.lines import hung_up, readable
+from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.node_policy import ConnectionUse
 from lab.proxy_testbed import SETTINGS
 
@@ -117,7 +118,8 @@
     peek.faults = [errno.ENOMEM]
     conn.sendall(read(5, 30_000))
     (connection,) = proxy.service.side.connections
-    assert not connection.close_overdue()  # as the sweep does with one that is overdue
+    # As the sweep does with one that is overdue.
+    assert not connection.close_overdue(CloseReason.PARTIAL_COMMAND)
     assert peek.failed == 1
     (node,) = proxy.nodes[0].taken
     proxy.got(node, b"mg k5 ")
