Give every wait of a drain and of a shutdown an end of its own

Cause: a close waited for an empty list of pending responses, for nothing unread, nothing unsent, no pause and a first request, and none of these waits ended unless the client ended it (ClientConnection.close_between_requests, called at each tick by GracefulShutdown); a client that read nothing had 10 s behind our close (LAST_READ_TIMEOUT_MS), and the flush of the last answers came on top of the time before the kill (LAST_ANSWERS_FLUSH_MS). Class: an end that waits for the other side without a bound.

Change: `serving.EndInstants` has an instant for each step: close between requests, reject new requests (1.0 s into a drain, 0.75 s after SIGTERM), cut half a command, answer all, close our side whatever is unread, close both sides (3.7 s into a drain; 0.15 s before the kill). `connections/closing.py` decides each connection's step, without I/O; the pieces of that decision in three classes are gone. A SIGTERM in a drain keeps the earlier instant of both. What the kernel has taken still reaches a client whose connection is closed on both sides. A check that fails no longer ends the checks.

Related finds, mended: a connection whose long value broke off was never closed if its client read nothing; a request that was over but whose attempt ran on held the process past the kill.

--- a/cloverwell/codec/transport.py
+++ b/cloverwell/codec/transport.py
@@ -4,6 +4,9 @@
 
 from typing import Protocol
 
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
+
 
 class StreamTransport(Protocol):
     """The methods of Twisted's TCP transport, whose own interfaces have no types for callers."""
@@ -39,3 +42,15 @@
 
     def abortConnection(self) -> None:
         """Closes the connection at once."""
+
+    def connectionLost(self, reason: Failure, /) -> None:
+        """Closes the socket and tells the protocol why, as the reactor does at the end of a connection."""
+
+
+def close_both_sides(transport: StreamTransport) -> None:
+    """Closes the socket now, in order: what the kernel has taken still reaches the other side.
+
+    `loseConnection` would wait until the other side has read enough, and `abortConnection` would reset the
+    connection, with all that is unread. What the transport itself still holds is dropped.
+    """
+    transport.connectionLost(Failure(ConnectionDone()))
--- /dev/null
+++ b/cloverwell/connections/closing.py
@@ -0,0 +1,104 @@
+"""What becomes of a client's connection while the process is drained or stops. State in, step out: no I/O.
+
+Every wait here has an end of its own. A client that always has a request open, that sends without pause, that
+reads nothing or that never closes its side gets the same instants as any other: they are those of
+`serving.EndInstants`, in ms of the caller's clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from cloverwell.serving import EndInstants
+
+# What a new connection's first request may take to come: closed before, it would be read and not answered.
+FIRST_REQUEST_WAIT_MS = 250.0
+# The same once new requests are rejected: those who send clients here have been told by then.
+LATE_FIRST_REQUEST_WAIT_MS = 50.0
+
+
+class ClosingStep(Enum):
+    """What to do with a connection now."""
+
+    KEEP = auto()  # Nothing: it is served, or something is waited for.
+    END_IF_READ = auto()  # Close our side, unless something is unread, which may be a request.
+    CUT_COMMAND_IF_READ = auto()  # The same behind half a command, which is answered as busy.
+    END = auto()  # Close our side, whatever is unread; half a command is answered as busy.
+    RELEASE = auto()  # Close both sides. What the kernel has taken still reaches the client.
+
+
+@dataclass(slots=True, frozen=True)
+class ClosingState:
+    """What of a connection decides its close.
+
+    Attributes:
+        accepted_ms: when it was accepted.
+        nothing_read: no byte of the client has been read.
+        responses_pending: a request is open, or not all of a response has been handed to the kernel.
+        streaming: a long value is being sent.
+        partial_command: a part of a command has come, and no response is pending.
+        reading_paused: commands that have been read are not handled yet: they wait behind malformed ones.
+        ended_ms: when our side was closed, or None.
+
+    """
+
+    accepted_ms: float
+    nothing_read: bool = False
+    responses_pending: bool = False
+    streaming: bool = False
+    partial_command: bool = False
+    reading_paused: bool = False
+    ended_ms: float | None = None
+
+
+def closing_step(
+    state: ClosingState, instants: EndInstants, now: float, after_stall: bool = False
+) -> ClosingStep:
+    """Return what to do with the connection now.
+
+    `after_stall`: the event loop has stalled, and what has come meanwhile is not read yet. Nothing is closed
+    for being late before that.
+    """
+    step = _due_step(state, instants, now)
+    return ClosingStep.KEEP if after_stall and step in _UNCONDITIONAL else step
+
+
+# The steps that lose what is unread.
+_UNCONDITIONAL = (ClosingStep.END, ClosingStep.RELEASE)
+
+
+def _due_step(state: ClosingState, instants: EndInstants, now: float) -> ClosingStep:
+    if now < instants.close_idle_ms:
+        return ClosingStep.KEEP
+    if now >= _release_by_ms(state, instants):
+        return ClosingStep.RELEASE
+    if state.ended_ms is not None:
+        return ClosingStep.RELEASE if now - state.ended_ms >= instants.linger_ms else ClosingStep.KEEP
+    if state.responses_pending or _awaits_first_request(state, instants, now):
+        return ClosingStep.KEEP
+    if now >= instants.end_ms:
+        return ClosingStep.END
+    if state.reading_paused:
+        return ClosingStep.KEEP
+    if not state.partial_command:
+        return ClosingStep.END_IF_READ
+    if now >= instants.close_mid_command_ms:
+        return ClosingStep.CUT_COMMAND_IF_READ
+    return ClosingStep.KEEP
+
+
+def _release_by_ms(state: ClosingState, instants: EndInstants) -> float:
+    """Return when the connection is closed on both sides, whatever its client does."""
+    if state.streaming:
+        return instants.stream_ms
+    return max(instants.release_ms, state.accepted_ms + instants.newcomer_ms)
+
+
+def _awaits_first_request(state: ClosingState, instants: EndInstants, now: float) -> bool:
+    """Tell whether the first request may be on its way."""
+    if not state.nothing_read:
+        return False
+    late = now >= instants.reject_ms
+    wait_ms = LATE_FIRST_REQUEST_WAIT_MS if late else FIRST_REQUEST_WAIT_MS
+    return now - state.accepted_ms < wait_ms
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -64,7 +64,7 @@
             return
         bound = self._facade.settings.max_open
         if bound and len(self._open) >= bound:
-            self._note_rejected(request, "open")
+            self.note_rejected(request, "open")
             request.finish(Rejected(self._facade.settings.max_retry_after_ms))
             return
         self._open[request.id] = request
@@ -75,13 +75,15 @@
         self.settle()
 
     def answer_all_by(self, when_ms: float) -> None:
-        """Has all open and all later requests answered by then, since the process ends."""
+        """Has all open and all later requests answered by then; infinite: each by its own deadline."""
         self._close_by_ms = when_ms
-        self._wheel.at(when_ms - DEADLINE_MARGIN_MS, self._fail_all_open)
 
-    def _fail_all_open(self) -> None:
+    def fail_all_open(self) -> None:
+        """Fails all open requests, since their connections are closed now."""
         for request in list(self._open.values()):
-            self._fail_at_deadline(request)
+            if not request.over:
+                self._note_failed(request, "ending")
+                self._fail(request)
 
     def client_disconnected(self, requests: list[Request]) -> None:
         """Ends the requests of a client that has disconnected, without an answer.
@@ -154,7 +156,7 @@
             case f.SendAttempt():
                 self._start_attempt(decision, request)
             case f.RejectRequest(_, retry_after_ms, reason):
-                self._note_rejected(request, reason)
+                self.note_rejected(request, reason)
                 request.finish(Rejected(retry_after_ms))
                 self._forget_if_done(request)
             case f.FailRequest(_, reason):
@@ -162,7 +164,8 @@
                 request.finish(Failed())
                 self._forget_if_done(request)
 
-    def _note_rejected(self, request: Request, reason: str) -> None:
+    def note_rejected(self, request: Request, reason: str) -> None:
+        """Logs and counts a request that is rejected, here or before it was accepted."""
         self._counts.add(f"refused.{reason}")
         self._log.info("refused", f"request {request.id}: {reason}")
 
@@ -285,8 +288,13 @@
 
     def _fail_at_deadline(self, request: Request) -> None:
         """Fails a request that is still open; the balancer ends each in time unless one of us is at fault."""
-        if request.finish(Failed()):
+        if not request.over:
             self._log.warn("overdue", f"request {request.id} was failed at its deadline")
+            self._fail(request)
+
+    def _fail(self, request: Request) -> None:
+        """Fails a request that is open, whatever the balancer would do with it."""
+        if request.finish(Failed()):
             self._facade.report(request, f.ClientDisconnected())
             for attempt in list(request.attempts.values()):
                 attempt.pool.give_up(attempt, AttemptOutcome.TIMED_OUT)
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -13,7 +13,9 @@
 from cloverwell.codec.lines import PEEK, hung_up
 from cloverwell.codec.meta import CommandFields
 from cloverwell.codec.steady_socket import TryAgainError
+from cloverwell.codec.transport import close_both_sides
 from cloverwell.connections.close_reason import CloseReason
+from cloverwell.connections.closing import ClosingState
 from cloverwell.front.command_receiver import CommandReceiver
 from cloverwell.front.connection_owner import ConnectionOwner
 from cloverwell.front.meta_answers import BUSY, DRAINING, SERVING, encode_answer, encode_error
@@ -29,7 +31,8 @@
 MAX_MALFORMED_COMMANDS = 24
 MALFORMED_COMMAND_PAUSE_MS = 50.0
 DISCARD_PAUSE_MS = 5.0  # between two reads of what is discarded once framing is lost
-FIRST_REQUEST_WAIT_MS = 250.0  # what a new connection's first request may take to come while draining
+FINAL_READ_BYTES = 64 * 1024  # of what is unread when our side is closed whatever is
+MAX_DISCARD_READS = 16  # of that size, before both sides are closed: unread bytes would make it a reset
 STREAM_PIECE_BYTES = 32 * 1024  # bytes that the transport holds while its client does not read
 
 
@@ -106,7 +109,7 @@
         super().release()
 
     def _check_buffer_empty(self) -> None:
-        if self._arrival.may_have_waited and not self._has_unread_bytes():
+        if self._arrival.may_have_waited and not self.has_unread_bytes():
             self._arrival.buffer_empty()
 
     def _throttle(self, pause_ms: float) -> None:
@@ -206,8 +209,8 @@
                 self._close_after_responses()
                 return
             # A client that always sends its next request at once is never seen idle by the periodic check.
-            if not (self._parsing or self.awaits_first_request) and self._owner.closes_between_requests():
-                self.close_between_requests(CloseReason.DRAIN)
+            if self._owner.is_closing and not self._parsing:
+                self._owner.advance_closing(self)
         if len(pending) >= MAX_PIPELINED_COMMANDS:
             self.hold()
         elif not self._lost and not self._throttled:
@@ -218,20 +221,6 @@
         self._responses.resume_stream()
         self.send_responses()
 
-    @property
-    def state_words(self) -> list[str]:
-        """What keeps the connection open, in words for a log line."""
-        states = {
-            "new": self._nothing_read,
-            "responses pending": bool(self._responses.pending),
-            "half a command": self.has_partial_command,
-            "answers unsent": self._writing,
-            "reading paused": self._held or self._throttled,
-            "bytes unread": not self.ended and self._has_unread_bytes(),
-            "our side closed": self.ended,
-        }
-        return [word for word, holds in states.items() if holds] or ["idle"]
-
     @property
     def unsent_bytes(self) -> int:
         """Bytes that wait in the outgoing buffer."""
@@ -264,12 +253,23 @@
         """When the first byte of the current command was read."""
         return self._arrival.begun_ms
 
-    @property
-    def awaits_first_request(self) -> bool:
-        """Whether the first request may be on its way: after a close it would be read and not answered."""
-        if not self._nothing_read:
-            return False
-        return self._owner.timer_wheel.now() - self._created_ms < FIRST_REQUEST_WAIT_MS
+    def closing_state(self) -> ClosingState:
+        """Return what decides its close while the process is drained or stops."""
+        return ClosingState(
+            accepted_ms=self._created_ms,
+            nothing_read=self._nothing_read,
+            responses_pending=bool(self._responses.pending) or self._writing,
+            streaming=self._responses.streaming,
+            partial_command=self.has_partial_command,
+            reading_paused=self._throttled or self._held,
+            ended_ms=self.write_closed_ms if self.ended else None,
+        )
+
+    def end(self, abort: bool = False, only_ours: bool = False) -> None:
+        """Close the connection; unless it is aborted, what has been sent leaves first."""
+        if not (self.ended or abort):
+            self._owner.closing(self)  # a client that reads nothing must not keep the descriptor
+        super().end(abort, only_ours)
 
     def abandon(self) -> list[Request]:
         """Abort the connection of a client that has disconnected; return its open requests, to be ended."""
@@ -296,7 +296,7 @@
         """Close a connection that has had no open request for too long; return whether it could be closed."""
         if not self.has_partial_command:
             return self.close_between_requests(reason)
-        if self.ended or self._lost or self._throttled or self._has_unread_bytes():
+        if self.ended or self._lost or self._throttled or self.has_unread_bytes():
             return False
         self.closing_because(reason)
         self.reject_and_close("half a command")
@@ -310,20 +310,62 @@
         """
         if self.ended or self._responses.pending or self._writing or self._throttled:
             return False
-        if (not cut and not self.between_requests) or self._has_unread_bytes():
+        if (not cut and not self.between_requests) or self.has_unread_bytes():
             return False
+        self._close_our_side(reason)
+        return True
+
+    def _close_our_side(self, reason: CloseReason) -> None:
         self.closing_because(reason)
         if self.has_partial_command:
             # The rest of the command would complete a request, which must get a response.
             self._send_last_line(BUSY)
-            return True
+            return
         self.ended = True
         self._owner.closing(self)
         # At once, not in the reactor's next iteration: a request that comes before that would be lost. The
         # client sees the end, closes its side, and sends elsewhere what crossed it.
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_WR)
-        return True
+
+    def end_our_side(self, reason: CloseReason) -> None:
+        """Close our side, whatever is unread, for a client that sends without pause.
+
+        What has been read and what can be read at once is answered first. What comes later has crossed the
+        close, and the client sends it elsewhere.
+        """
+        self._parse_without_pause()
+        with contextlib.suppress(OSError):
+            if data := self._socket.recv(FINAL_READ_BYTES):
+                self.dataReceived(data)
+                self._parse_without_pause()
+        if not (self.ended or self._lost or self._responses.pending or self._writing):
+            self._close_our_side(reason)
+
+    def _parse_without_pause(self) -> None:
+        """Answer the commands that wait behind malformed ones; so many of these in a row end that."""
+        while self._throttled and not (self._lost or self.ended) and len(self._in):
+            unparsed_bytes = len(self._in)
+            self._throttled = False
+            self.release()
+            if len(self._in) == unparsed_bytes:
+                return
+
+    def close_now(self, reason: CloseReason) -> list[Request]:
+        """Close both sides; return the requests that are still open, which get no answer.
+
+        What the kernel has taken still reaches the client. What it has not taken for so long is dropped: the
+        client reads nothing, and can tell by the length that an answer is not whole.
+        """
+        self.closing_because(reason)
+        open_requests = self._responses.abandon()
+        self.ended = True
+        with contextlib.suppress(OSError):
+            for _ in range(MAX_DISCARD_READS):
+                if not self._socket.recv(FINAL_READ_BYTES):
+                    break
+        close_both_sides(self.transport)
+        return open_requests
 
     def _close_after_responses(self) -> None:
         """Close our side only, behind the last response.
@@ -333,9 +375,8 @@
         if not self.ended:
             self.end(only_ours=True)
             self.transport.resumeProducing()
-            self._owner.closing(self)
 
-    def _has_unread_bytes(self) -> bool:
+    def has_unread_bytes(self) -> bool:
         """Return whether a request may be in the socket's buffer, which a close would lose."""
         try:
             return bool(self._socket.recv(1, PEEK))
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -6,12 +6,14 @@
 from typing import Protocol
 
 from twisted.internet.interfaces import IAddress
+from twisted.logger import Logger
 
 from balancer.api import Settings
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.budget import DescriptorBudget, DescriptorSide
 from cloverwell.connections.client_policy import MAX_ACCEPTS_PER_ITERATION, ClientConnectionPolicy
 from cloverwell.connections.close_reason import CloseReason
+from cloverwell.connections.closing import ClosingStep, closing_step
 from cloverwell.connections.metrics import ConnectionEvent, ConnectionMetrics
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.front.client_closer import ClientCloser
@@ -100,6 +102,9 @@
         self._budget = budget
         self._metrics = metrics
         self._full = False
+        self.is_closing = False
+        self._rejects_all = False
+        self._logger = Logger(namespace="clients")
         self._queue = AcceptQueue(BACKLOG + 1)  # Linux lets one more connection wait than the backlog.
         self.request_descriptor: Callable[[], object] = lambda: None  # of the nodes' side
         timer_wheel.on_stall = self._check_after_stall
@@ -205,20 +210,19 @@
         self._log.info("close", f"{connection.peer}: {reason.value}, open for {connection.age_ms:.0f} ms")
 
     def rejects(self, request: Request) -> bool:
-        """Return whether so many clients have open requests that this new one is rejected.
+        """Return whether this new request is rejected: its connection should be closed, or too many are used.
 
-        Without that, descriptors would run out: an accept that fails would lose requests.
+        Without the second, descriptors would run out: an accept that fails would lose requests.
         """
+        if self._rejects_all:
+            self.dispatcher.note_rejected(request, "ending")
+            return True
         if self.policy.states.active_count <= self._budget.max_active_clients:
             return False
         self._metrics.add(ConnectionEvent.REQUEST_REFUSED)
-        self._log.info("refused", f"request {request.id}: descriptors")
+        self.dispatcher.note_rejected(request, "descriptors")
         return True
 
-    def closes_between_requests(self) -> bool:
-        """Return whether this process is draining, and closes connections without an open request."""
-        return self.serving.draining and self.serving.closes_idle_connections(self.timer_wheel.now())
-
     def stream_buffer_bytes(self) -> int:
         """Return how many bytes of a streamed value may wait for a client that reads slowly."""
         return ahead(self._stream_bytes, self.stream_count)
@@ -294,8 +298,29 @@
         """Return one line on the connections that are open now."""
         return describe_held(self.connections)
 
-    def close_between_requests(self, cut: bool = False) -> None:
-        """Close each connection that is between requests; `cut`: also behind a partial command."""
+    def check_closing(self) -> None:
+        """Close each connection as far as it is due; call this at each tick of a drain or a shutdown."""
+        now = self.timer_wheel.now()
+        self.is_closing = self.serving.closes_idle_connections(now)
+        if not self.timer_wheel.just_stalled:  # else what is read next may have come before
+            self._rejects_all = self.serving.rejects_requests(now)
+        if not self.is_closing:
+            return
         for connection in list(self.connections):
-            if not connection.awaits_first_request:
-                connection.close_between_requests(CloseReason.DRAIN, cut)
+            try:
+                self.advance_closing(connection)
+            except Exception:  # one that fails must not keep the others open
+                self._logger.failure("closing a connection")
+
+    def advance_closing(self, connection: ClientConnection) -> None:
+        """Close the connection as far as it is due, while the process is drained or stops."""
+        now, after_stall = self.timer_wheel.now(), self.timer_wheel.just_stalled
+        match closing_step(connection.closing_state(), self.serving.instants, now, after_stall):
+            case ClosingStep.END_IF_READ:
+                connection.close_between_requests(CloseReason.DRAIN)
+            case ClosingStep.CUT_COMMAND_IF_READ:
+                connection.close_between_requests(CloseReason.DRAIN, cut=True)
+            case ClosingStep.END:
+                connection.end_our_side(CloseReason.DRAIN)
+            case ClosingStep.RELEASE:
+                self.dispatcher.client_disconnected(connection.close_now(CloseReason.DRAIN))
--- a/cloverwell/front/connection_owner.py
+++ b/cloverwell/front/connection_owner.py
@@ -24,6 +24,7 @@
         not_read: connections whose reading is paused.
         retry_after_ms: for clients whose requests are rejected; 0 to send none.
         stream_count: streamed values that are being sent.
+        is_closing: whether this process is drained or stops, and closes connections between requests.
     """
 
     dispatcher: Dispatcher
@@ -34,6 +35,7 @@
     reading_paused: dict[ConnectionT, None]
     retry_after_ms: float
     stream_count: int
+    is_closing: bool
 
     def request_started(self, connection: ConnectionT) -> None:
         """Record that the connection has an open request."""
@@ -56,8 +58,8 @@
     def rejects(self, request: Request) -> bool:
         """Return whether a new request is rejected because too many clients have open ones."""
 
-    def closes_between_requests(self) -> bool:
-        """Return whether a connection without an open request is to be closed."""
+    def advance_closing(self, connection: ConnectionT) -> None:
+        """Close the connection as far as it is due, while the process is drained or stops."""
 
     def stream_buffer_bytes(self) -> int:
         """Return how many bytes of a streamed value may wait for a client that reads slowly."""
--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -51,6 +51,11 @@
         """Whether a request is open."""
         return any(response.request is not None for response in self.pending)
 
+    @property
+    def streaming(self) -> bool:
+        """Whether a long value is being sent."""
+        return self._stream is not None
+
     @property
     def open_request_ids(self) -> list[str]:
         """The ids of the open requests, in the order of their commands."""
--- a/cloverwell/proxy.py
+++ b/cloverwell/proxy.py
@@ -231,7 +231,9 @@
 
     def undrain(self) -> bool:
         """Takes a drain back; returns whether the process is ready now."""
-        return self._change_state(self.serving.undrain)
+        undrained = self._change_state(self.serving.undrain)
+        self._shutdown.begin()
+        return undrained
 
     def configuration(self) -> str | None:
         """One line on the active version of the configuration; None without a control log."""
@@ -246,7 +248,6 @@
         handed_over = self._handover.successor_serves
         if self._change_state(lambda: self.serving.stop(now, longest_deadline_ms, handed_over)):
             self._log.info("stop", f"draining, {self.dispatcher.open_count} requests open")
-            self.dispatcher.answer_all_by(self.serving.answer_by_ms())
             self._shutdown.begin()
         else:
             self._log.info("stop", "asked again, the shutdown goes on as it has begun")
--- a/cloverwell/serving.py
+++ b/cloverwell/serving.py
@@ -2,14 +2,13 @@
 
 The answers to `mn` and `GET /ready`, the listening port and the closing of clients' connections follow from
 this one state. A drain and a graceful shutdown close connections in the same way and differ in their
-schedules alone:
-
-- for a while connections are still accepted, since those who send clients here have not been told yet;
-- then each connection is closed between requests, and one with half a command some time later.
+schedules alone: for a while connections are still accepted, since those who send clients here have not been
+told yet; then each connection is closed between requests, and what is left is brought to its end step by
+step, whatever clients and nodes do. docs/design/ends.md argues the steps.
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from enum import Enum
 
 
@@ -26,28 +25,59 @@
 class DrainSchedule:
     """What happens to connections and requests how long after a drain or a shutdown began.
 
-    `accept_ms`: until then connections are accepted; `close_idle_ms`: from then on they are closed between
-    requests; `close_mid_command_ms`: from then on also with half a command; `answer_ms`: by then all requests
-    must have been answered.
+    Attributes:
+        accept_ms: until then connections are accepted.
+        close_idle_ms: from then on connections are closed between requests.
+        reject_ms: from then on new requests are rejected, so that their connections come to an end.
+        close_mid_command_ms: from then on connections are closed also with half a command.
+        answer_ms: by then all requests have been answered.
+        end_ms: by then our side of each connection is closed, also where something is unread.
+        release_ms: by then each connection is closed on both sides.
+        stream_ms: by then also one on which a long value is sent.
+        newcomer_ms: what a connection has that is accepted when it should be closed already.
+        linger_ms: what a client has to close its side after ours.
+
     """
 
     accept_ms: float
     close_idle_ms: float
+    reject_ms: float
     close_mid_command_ms: float
-    answer_ms: float = math.inf
+    answer_ms: float
+    end_ms: float
+    release_ms: float
+    stream_ms: float
+    newcomer_ms: float = 0.0
+    linger_ms: float = math.inf
 
 
 # The front layer is told within 0.1 s, sends clients for a further 0.2 s, and asks on new connections whether
-# the drain is over.
-DRAIN_SCHEDULE = DrainSchedule(accept_ms=math.inf, close_idle_ms=400.0, close_mid_command_ms=2500.0)
+# the drain is over. At 4 s no connection may be held that is idle or has had a request in the last 2 s; what
+# is left before then covers a stall of the event loop.
+DRAIN_SCHEDULE = DrainSchedule(
+    accept_ms=math.inf,
+    close_idle_ms=400.0,
+    reject_ms=1000.0,
+    close_mid_command_ms=2500.0,
+    answer_ms=3200.0,
+    end_ms=3450.0,
+    release_ms=3700.0,
+    # A value that has begun is passed on as long as its client reads it, but not without end.
+    stream_ms=10_000.0,
+    newcomer_ms=250.0,
+)
 # After SIGTERM clients may not have been told yet: new connections are accepted for so long, and what comes
-# on open ones is answered for a little longer.
+# on open ones is served for a little longer.
 SHUTDOWN_ACCEPT_MS = 500.0
 SHUTDOWN_MID_COMMAND_MS = 250.0
+MIN_CUT_LEAD_MS = 50.0  # half a command is answered as busy so long before all must be answered
+# A client that does not close its side must not keep the process from its end.
+SHUTDOWN_LINGER_MS = 500.0
 # The platform sends SIGKILL so long after the longest deadline, which it counts as no more than the maximum.
 MAX_COUNTED_DEADLINE_MS = 3000.0
 KILL_DELAY_MS = 700.0
 KILL_MARGIN_MS = 200.0  # all is answered so long before SIGKILL
+RELEASE_MARGIN_MS = 150.0  # and all is closed, so that a stall of this length does no harm
 
 
 def shutdown_schedule(longest_deadline_ms: float, handed_over: bool) -> DrainSchedule:
@@ -58,11 +88,61 @@
     """
     accept_ms = 0.0 if handed_over else SHUTDOWN_ACCEPT_MS
     kill_ms = min(longest_deadline_ms, MAX_COUNTED_DEADLINE_MS) + KILL_DELAY_MS
+    answer_ms, release_ms = kill_ms - KILL_MARGIN_MS, kill_ms - RELEASE_MARGIN_MS
+    cut_ms = min(accept_ms + SHUTDOWN_MID_COMMAND_MS, answer_ms - MIN_CUT_LEAD_MS)
     return DrainSchedule(
         accept_ms=accept_ms,
         close_idle_ms=accept_ms,
-        close_mid_command_ms=accept_ms + SHUTDOWN_MID_COMMAND_MS,
-        answer_ms=kill_ms - KILL_MARGIN_MS,
+        reject_ms=cut_ms,
+        close_mid_command_ms=cut_ms,
+        answer_ms=answer_ms,
+        end_ms=(answer_ms + release_ms) / 2.0,
+        release_ms=release_ms,
+        stream_ms=release_ms,
+        linger_ms=SHUTDOWN_LINGER_MS,
+    )
+
+
+@dataclass(slots=True, frozen=True)
+class EndInstants:
+    """The instants of a schedule, in ms of the process's clock, and its two durations.
+
+    The attributes are those of `DrainSchedule`.
+    """
+
+    accept_ms: float = math.inf
+    close_idle_ms: float = math.inf
+    reject_ms: float = math.inf
+    close_mid_command_ms: float = math.inf
+    answer_ms: float = math.inf
+    end_ms: float = math.inf
+    release_ms: float = math.inf
+    stream_ms: float = math.inf
+    newcomer_ms: float = math.inf
+    linger_ms: float = math.inf
+
+    def earlier(self, other: "EndInstants") -> "EndInstants":
+        """Of each instant and duration the earlier one."""
+        pairs = ((getattr(self, field.name), getattr(other, field.name)) for field in fields(self))
+        return EndInstants(*(min(pair) for pair in pairs))
+
+
+NO_END = EndInstants()  # of a process that goes on
+
+
+def instants_of(schedule: DrainSchedule, since_ms: float) -> EndInstants:
+    """The instants of a schedule that began at `since_ms`."""
+    return EndInstants(
+        accept_ms=since_ms + schedule.accept_ms,
+        close_idle_ms=since_ms + schedule.close_idle_ms,
+        reject_ms=since_ms + schedule.reject_ms,
+        close_mid_command_ms=since_ms + schedule.close_mid_command_ms,
+        answer_ms=since_ms + schedule.answer_ms,
+        end_ms=since_ms + schedule.end_ms,
+        release_ms=since_ms + schedule.release_ms,
+        stream_ms=since_ms + schedule.stream_ms,
+        newcomer_ms=schedule.newcomer_ms,
+        linger_ms=schedule.linger_ms,
     )
 
 
@@ -72,7 +152,7 @@
     def __init__(self) -> None:
         """A process that is starting."""
         self.state = ServingState.STARTING
-        self._schedule: DrainSchedule | None = None
+        self.instants = NO_END
         self._handed_over = False
         self.since_ms = 0.0  # when the drain or shutdown began
 
@@ -87,7 +167,7 @@
         """Drains a ready process; a repeated call does not begin the schedule again."""
         if self.state is ServingState.READY:
             self.state = ServingState.DRAINED
-            self._schedule = DRAIN_SCHEDULE
+            self.instants = instants_of(DRAIN_SCHEDULE, now)
             self.since_ms = now
         return self.state is ServingState.DRAINED
 
@@ -95,18 +175,20 @@
         """Takes a drain back."""
         if self.state is ServingState.DRAINED:
             self.state = ServingState.READY
-            self._schedule = None
+            self.instants = NO_END
         return self.state is ServingState.READY
 
     def stop(self, now: float, longest_deadline_ms: float, handed_over: bool = False) -> bool:
         """Begins a graceful shutdown, which no other call takes back; False if it has begun before.
 
-        Arguments as those of `shutdown_schedule`.
+        What a drain would have ended earlier ends then all the same. Arguments as those of
+        `shutdown_schedule`.
         """
         if self.state is ServingState.STOPPING:
             return False
         self.state = ServingState.STOPPING
-        self._schedule = shutdown_schedule(longest_deadline_ms, handed_over)
+        shutdown = instants_of(shutdown_schedule(longest_deadline_ms, handed_over), now)
+        self.instants = self.instants.earlier(shutdown)
         self._handed_over = handed_over
         self.since_ms = now
         return True
@@ -126,20 +208,24 @@
     @property
     def draining(self) -> bool:
         """The process is drained or stopping."""
-        return self._schedule is not None
+        return self.instants is not NO_END
 
     def accepts(self, now: float) -> bool:
         """New connections are accepted."""
-        return self._schedule is None or now - self.since_ms < self._schedule.accept_ms
+        return now < self.instants.accept_ms
 
     def closes_idle_connections(self, now: float) -> bool:
         """Connections are closed between requests."""
-        return self._schedule is not None and now - self.since_ms >= self._schedule.close_idle_ms
+        return now >= self.instants.close_idle_ms
+
+    def rejects_requests(self, now: float) -> bool:
+        """New requests are rejected."""
+        return now >= self.instants.reject_ms
 
     def closes_mid_command(self, now: float) -> bool:
         """Connections are closed also where half a command has come."""
-        return self._schedule is not None and now - self.since_ms >= self._schedule.close_mid_command_ms
+        return now >= self.instants.close_mid_command_ms
 
     def answer_by_ms(self) -> float:
         """The time by which all requests must have been answered; infinite while there is none."""
-        return math.inf if self._schedule is None else self.since_ms + self._schedule.answer_ms
+        return self.instants.answer_ms
--- a/lab/connection_end.py
+++ b/lab/connection_end.py
@@ -10,7 +10,7 @@
 import errno
 import socket
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 from twisted.internet.address import IPv4Address
 from twisted.internet.error import ConnectionAborted, ConnectionDone, ConnectionLost
@@ -234,6 +234,10 @@
             self.deliver(self.other.reset)
             self.net.callLater(0, self.close_with, ConnectionAborted())
 
+    def connectionLost(self, reason: Failure) -> None:
+        """Closes the socket in order, whatever waits here."""
+        self.close_with(cast(Exception, reason.value))
+
     def loseWriteConnection(self) -> None:
         """Closes the way out when all that was written has left."""
         if self._waiting and not self.closed:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -19,6 +19,7 @@
 import fnmatch
 import io
 import os
+import socket
 
 import msgspec
 from twisted.internet.address import IPv4Address
@@ -55,6 +56,10 @@
     def loseWriteConnection(self):
         self.shut = True
 
+    def connectionLost(self, reason):
+        self.loseConnection()
+        self.protocol.connectionLost(reason)
+
     @property
     def accepting(self):
         """As a listening port: it is not paused."""
@@ -81,10 +86,13 @@
     def shutdown(self, how):
         self.shut = True
 
-    def recv(self, number, flags):
+    def recv(self, number, flags=0):
         if not self.unread:
             raise BlockingIOError
-        return self.unread
+        data = self.unread[:number]
+        if not flags & socket.MSG_PEEK:
+            self.unread = self.unread[number:]
+        return data
 
 
 class Player:
--- a/tests/test_close_reasons.py
+++ b/tests/test_close_reasons.py
@@ -4,6 +4,9 @@
 from rig import read, write
 from scenario import Player
 
+from cloverwell.connections.closing import ClosingState
+from cloverwell.dispatcher import Dispatcher
+from cloverwell.front.client_connections import ClientConnections
 from cloverwell.front.connection_report import MAX_CONNECTIONS, MAX_REQUEST_IDS, describe_held
 from cloverwell.graceful_shutdown import DRAIN_REPORT_MS
 from cloverwell.log import MAX_LINES_PER_SECOND
@@ -68,7 +71,10 @@
     assert f"client_close.drain={number}" in player.log.getvalue()
 
 
-def test_at_the_end_of_a_drain_what_is_held_is_named(rig):
+def test_at_the_end_of_a_drain_what_is_held_is_named(rig, monkeypatch):
+    monkeypatch.setattr(ClientConnections, "advance_closing", lambda side, connection: None)
+    monkeypatch.setattr(Dispatcher, "fail_all_open", lambda dispatcher: None)
+    monkeypatch.setattr(Dispatcher, "answer_all_by", lambda dispatcher, when_ms: None)
     proxy = rig()
     proxy.client(write(1, 9000) + write(2, 9000))
     proxy.got(proxy.origin.take(), b"PUT /k1 ")
@@ -99,9 +105,14 @@
 
 class Held:
     peer = "127.0.0.9:1"
-    state_words = ("responses pending", "answers unsent")
     age_ms = 1234.0
 
+    def closing_state(self):
+        return ClosingState(0.0, responses_pending=True)
+
+    def has_unread_bytes(self):
+        return True
+
     def __init__(self, ids):
         self.open_request_ids = [f"r{number}" for number in range(ids)]
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -74,14 +74,14 @@
     proxy.got(node, b"mg k1 ")
     node.sendall(b"VA 1 O1\r\nx\r\n")
     proxy.until(lambda: not proxy.service.dispatcher.open_count)
-    check = ClientConnection._has_unread_bytes
+    check = ClientConnection.has_unread_bytes
 
     def crossing(client_connection):
         there = check(client_connection)
         conn.sendall(read(2))  # after the check, before the close
         return there
 
-    monkeypatch.setattr(ClientConnection, "_has_unread_bytes", crossing)
+    monkeypatch.setattr(ClientConnection, "has_unread_bytes", crossing)
     proxy.skip(10_050)
     # The answer before is whole, its end an end and no reset, and the client sends the other one elsewhere.
     assert proxy.ended(conn) == b"VA 1 O1\r\nx\r\nEND"
