Test every state of a client's connection against every end of a process

tests/test_states_against_ends.py plays 23 states of a connection against eight ends (a drain, again behind an undrain, under a reload; a stop, twice, behind a reload, in a drain, behind a replacement), one turn of the loop at a time on real sockets: closed by its instant, each request that was read answered, no reset for who reads, the process ended before the kill.

Found by thinking the cells through, and mended: the end of a long value that the kernel had not taken would have been dropped at the drain's bound; a value is being sent until the kernel has all of it.

--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -21,6 +21,10 @@
     def unsent_bytes(self) -> int:
         """Bytes that wait in the connection's buffer."""
 
+    @property
+    def has_unsent_responses(self) -> bool:
+        """Whether the kernel has not taken all that was put."""
+
     def put(self, data: bytes) -> bool:
         """Send all of the data, or return False."""
 
@@ -37,13 +41,14 @@
 class ResponseQueue:
     """The pending responses, and the streamed value that is being sent."""
 
-    __slots__ = ("_connection", "_owner", "_stream", "pending")
+    __slots__ = ("_connection", "_owner", "_stream", "_stream_end_unsent", "pending")
 
     def __init__(self, connection: SendingConnection, owner: ConnectionOwner[Any]) -> None:
         """Start with no pending response."""
         self._connection = connection
         self._owner = owner
         self._stream: ResponseStream | None = None
+        self._stream_end_unsent = False  # all of a long value has been put, not all of it taken
         self.pending: deque[PendingResponse] = deque()
 
     @property
@@ -53,8 +58,10 @@
 
     @property
     def streaming(self) -> bool:
-        """Whether a long value is being sent."""
-        return self._stream is not None
+        """Whether a long value is being sent, the end of which the kernel has not taken."""
+        if self._stream_end_unsent and not self._connection.has_unsent_responses:
+            self._stream_end_unsent = False
+        return self._stream is not None or self._stream_end_unsent
 
     @property
     def open_request_ids(self) -> list[str]:
@@ -106,6 +113,7 @@
         self._stream = None
         self.pending.popleft()
         if complete:
+            self._stream_end_unsent = True
             self._connection.put(
                 b"\r\n"
             )  # There is room: the buffer is larger than what streams leave in it.
--- /dev/null
+++ b/tests/test_states_against_ends.py
@@ -0,0 +1,185 @@
+"""Every state of a client's connection against every end of a process: the cells of docs/design/ends.md.
+
+One play for each end has a client of each state, on real sockets, one turn of the loop at a time. Each
+connection is over by its instant, each request that was read has its answer, and who reads meets no reset.
+"""
+
+import pytest
+from closing_states import STATES, Crowding, NodeDriver, NoReader, Record, SlowReader
+from rig import Rig
+
+STEP_MS = 20
+TICK_MS = 25.0  # the wheel's, and a step of the play
+DRAIN_BOUND_MS = 4000.0  # the page's
+KILL_MS = 2000.0 + 700.0  # the page's: the longest deadline of the rig's settings, and 0.7 s
+STREAMS = (SlowReader, NoReader)  # a long value that has begun is passed on, with a bound of its own
+STREAM_BOUND_MS = 10_000.0
+
+
+class Play:
+    """One proxy with a client of each state, and what became of them."""
+
+    def __init__(self, monkeypatch, states=STATES, sockets=256):
+        self.rig = Rig(sockets=sockets)
+        self.record = Record(self.rig, monkeypatch)
+        self.driver = NodeDriver(self.rig)
+        self.clients = {state: state(self.rig) for state in states}
+        self.drained_ms = self.stopped_ms = None
+        self.ended_ms = None
+        self.go_on(200)
+
+    def go_on(self, ms):
+        """Passes time: nodes answer, and clients go on with what they do."""
+        end_ms = self.rig.now() + ms
+        while self.rig.now() < end_ms:
+            self.rig.skip(STEP_MS)
+            self.driver.step()
+            for client in self.clients.values():
+                client.advance(self.rig.now())
+            if self.rig.reactor.stopped and self.ended_ms is None:
+                self.ended_ms = self.rig.now()
+
+    def drain(self):
+        self.drained_ms = self.rig.now()
+        self.rig.service.drain()
+
+    def stop(self):
+        self.stopped_ms = self.stopped_ms or self.rig.now()
+        self.rig.service.stop()
+
+    def finish(self):
+        """Lets the bounds pass, and the clients read what the kernel still holds for them."""
+        bounds = []
+        if self.drained_ms is not None:
+            bounds.append(self.drained_ms + DRAIN_BOUND_MS)
+        if self.stopped_ms is not None:
+            bounds.append(self.stopped_ms + KILL_MS)
+        self.bound_ms = min(bounds)
+        self.go_on(max(bounds) - self.rig.now() + 100)
+        for client in self.clients.values():
+            for _ in range(2000):
+                if client.eof or client.was_reset:
+                    break
+                client.read_some()
+                self.rig.turn(1)
+
+
+def drain(play):
+    play.drain()
+
+
+def drain_undrain_drain(play):
+    play.drain()
+    play.go_on(1500)
+    play.rig.service.undrain()
+    play.go_on(300)
+    play.drain()
+
+
+def reload_in_a_drain(play):
+    play.drain()
+    play.go_on(1000)
+    play.rig.service.activate(play.rig.discovery.address, 3)
+
+
+def stop(play):
+    play.stop()
+
+
+def stop_twice(play):
+    play.stop()
+    play.go_on(300)
+    play.stop()
+
+
+def stop_behind_a_reload(play):
+    play.rig.service.activate(play.rig.discovery.address, 3)
+    play.stop()
+
+
+def stop_in_a_drain(play):
+    play.drain()
+    play.go_on(2500)
+    play.stop()
+
+
+def replaced(play):
+    play.rig.service.succeeded()
+    play.stop()
+
+
+ENDS = [
+    drain,
+    drain_undrain_drain,
+    reload_in_a_drain,
+    stop,
+    stop_twice,
+    stop_behind_a_reload,
+    stop_in_a_drain,
+    replaced,
+]
+
+
+@pytest.fixture(scope="module", params=ENDS, ids=lambda end: end.__name__)
+def play(request):
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        made = Play(monkeypatch)
+        try:
+            request.param(made)
+            made.finish()
+            yield made
+        finally:
+            made.rig.close()
+
+
+@pytest.mark.parametrize("state", STATES, ids=lambda state: state.__name__)
+def test_a_connection_is_closed_by_its_instant(play, state):
+    bound_ms = play.bound_ms
+    if state in STREAMS and play.stopped_ms is None:
+        bound_ms = play.drained_ms + STREAM_BOUND_MS
+        play.go_on(bound_ms - play.rig.now())
+    assert play.record.closed_ms.get(play.clients[state].peer, bound_ms + 1e9) <= bound_ms + TICK_MS
+
+
+@pytest.mark.parametrize("state", STATES, ids=lambda state: state.__name__)
+def test_each_request_that_was_read_has_its_answer(play, state):
+    client = play.clients[state]
+    asked = len(play.record.read.get(client.peer, []))
+    assert client.answers() <= asked
+    if not state.may_lose:
+        assert client.answers() == asked
+
+
+@pytest.mark.parametrize("state", STATES, ids=lambda state: state.__name__)
+def test_the_end_of_a_connection_is_no_reset(play, state):
+    client = play.clients[state]
+    assert state.may_reset or not client.was_reset
+
+
+def test_a_process_that_stops_has_ended_before_the_kill(play):
+    if play.stopped_ms is None:
+        assert not play.rig.reactor.stopped  # drained, it stays up
+    else:
+        assert play.ended_ms is not None
+        assert play.ended_ms < play.stopped_ms + KILL_MS
+
+
+# Connections that wait to be accepted -------------------------------------------------------------
+
+
+@pytest.mark.parametrize("end", [drain, stop, stop_in_a_drain], ids=lambda end: end.__name__)
+def test_who_waits_behind_a_crowd_is_let_go_too(monkeypatch, end):
+    # Idle clients that never close fill the descriptors, and more of them wait in the kernel's queue.
+    play = Play(monkeypatch, states=[], sockets=64)
+    try:
+        for number in range(90):
+            play.clients[number] = Crowding(play.rig)
+        play.rig.turn()
+        assert play.rig.service.side._full
+        end(play)
+        play.finish()
+        assert all(client.eof or client.was_reset for client in play.clients.values())
+        assert all(at <= play.bound_ms + TICK_MS for at in play.record.closed_ms.values())
+        test_a_process_that_stops_has_ended_before_the_kill(play)
+    finally:
+        play.rig.close()
