--- a/cloverwell/connections/close_reason.py
+++ b/cloverwell/connections/close_reason.py
@@ -10,6 +10,7 @@
     PARTIAL_COMMAND = "half"  # It has sent half a command for too long.
     IDLE = "idle"  # It has been idle too long.
     CLOSE_TIMEOUT = "linger"  # It has not closed its side after ours.
+    NOT_READING = "not_reading"  # It has read nothing for too long, and the connection takes no more.
     MAKE_ROOM = "room"  # It is idle, and another client needs the descriptor.
     DRAIN = "drain"  # The process is drained, or stops.
     MALFORMED = "malformed"  # What it sent can't be cut into commands, or too much of it was malformed.
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -211,6 +211,8 @@
             # A client that always sends its next request at once is never seen idle by the periodic check.
             if self._owner.is_closing and not self._parsing:
                 self._owner.advance_closing(self)
+        elif pending[0].data is not None:
+            self._owner.blocked_by_client(self)
         if len(pending) >= MAX_PIPELINED_COMMANDS:
             self.hold()
         elif not self._lost and not self._throttled:
@@ -218,6 +220,7 @@
 
     def roomMade(self) -> None:
         """Send more: the transport has sent what it had."""
+        self._owner.client_has_read(self)
         self._responses.resume_stream()
         self.send_responses()
 
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -9,6 +9,7 @@
 from twisted.logger import Logger
 
 from balancer.api import Settings
+from cloverwell.codec.lines import unsent
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.budget import DescriptorBudget, DescriptorSide
 from cloverwell.connections.client_policy import MAX_ACCEPTS_PER_ITERATION, ClientConnectionPolicy
@@ -21,6 +22,7 @@
 from cloverwell.front.connection_report import describe_held
 from cloverwell.front.disconnect_detector import DisconnectDetector
 from cloverwell.front.port import BoundedFactory
+from cloverwell.front.unread_responses import UnreadResponses
 from cloverwell.log import Log
 from cloverwell.request import Request
 from cloverwell.serving import Serving
@@ -102,6 +104,7 @@
         self._budget = budget
         self._metrics = metrics
         self._full = False
+        self._unread_responses: UnreadResponses[ClientConnection] = UnreadResponses()
         self.is_closing = False
         self._rejects_all = False
         self._logger = Logger(namespace="clients")
@@ -188,6 +191,14 @@
         """Record that more bytes of a partial command have come."""
         self.policy.partial_command_grew(connection, self.timer_wheel.now())
 
+    def blocked_by_client(self, connection: ClientConnection) -> None:
+        """Record that a response is known, and that the connection takes no more."""
+        self._unread_responses.blocked(connection, unsent(connection.fileno()), self.timer_wheel.now())
+
+    def client_has_read(self, connection: ClientConnection) -> None:
+        """Record that the connection takes more again."""
+        self._unread_responses.progressed(connection)
+
     def closing(self, connection: ClientConnection) -> None:
         """Record that our side is closed: the descriptor must become free though the client never closes."""
         connection.write_closed_ms = self.timer_wheel.now()
@@ -200,6 +211,7 @@
         self.connections.pop(connection)
         self._note_close(connection)
         self.reading_paused.pop(connection, None)
+        self._unread_responses.progressed(connection)
         self._budget.give_back(DescriptorSide.CLIENTS)
         self.policy.closed(connection)
         self._resume_accepting()
@@ -268,6 +280,9 @@
         self.timer_wheel.at(now + POLICY_CHECK_INTERVAL_MS, self._check_policy)
         expired = self.policy.expired(now)
         self._closer.close(expired, len(expired))
+        for connection in self._unread_responses.to_check(now):
+            if self._unread_responses.has_expired(connection, unsent(connection.fileno()), now):
+                self._close_now(connection, CloseReason.NOT_READING)
         self._keep_room()
         self._resume_accepting()
         self._check_accept_queue()
@@ -323,4 +338,7 @@
             case ClosingStep.END:
                 connection.end_our_side(CloseReason.DRAIN)
             case ClosingStep.RELEASE:
-                self.dispatcher.client_disconnected(connection.close_now(CloseReason.DRAIN))
+                self._close_now(connection, CloseReason.DRAIN)
+
+    def _close_now(self, connection: ClientConnection, reason: CloseReason) -> None:
+        self.dispatcher.client_disconnected(connection.close_now(reason))
--- a/cloverwell/front/connection_owner.py
+++ b/cloverwell/front/connection_owner.py
@@ -46,6 +46,12 @@
     def partial_command_grew(self, connection: ConnectionT) -> None:
         """Record that more bytes of a partial command have come."""
 
+    def blocked_by_client(self, connection: ConnectionT) -> None:
+        """Record that a response is known, and that the connection takes no more."""
+
+    def client_has_read(self, connection: ConnectionT) -> None:
+        """Record that the connection takes more again."""
+
     def closing(self, connection: ConnectionT) -> None:
         """Record that our side of the connection is closed."""
 
--- /dev/null
+++ b/tests/test_bounded_waits.py
@@ -0,0 +1,107 @@
+"""Waits that have an end of their own, also where the other side does nothing: on real sockets."""
+
+import socket
+
+from closing_states import LONG_VALUE, SLOW_READ_BYTES, SMALL_BUFFER, NodeDriver, NotReadingMuch, read
+from rig import write
+
+from cloverwell.back.pool import STREAM_STALL_MS
+from cloverwell.connections.client_policy import CLOSE_TIMEOUT_MS, IDLE_TIMEOUT_MS
+from cloverwell.front.client_closer import LAST_READ_TIMEOUT_MS
+from cloverwell.front.unread_responses import CHECK_INTERVAL_MS, READ_TIMEOUT_MS
+from cloverwell.serving import KILL_DELAY_MS, MAX_COUNTED_DEADLINE_MS
+
+SLACK_MS = 300.0  # the policy's check, and steps of the play
+
+
+def play_until(proxy, event, by_ms):
+    """Passes time until the event; tells whether it came in time."""
+    while not event() and proxy.now() < by_ms:
+        proxy.skip(20)
+    return event()
+
+
+def connections(proxy):
+    return proxy.service.side.connections
+
+
+def unreading_client(proxy, data):
+    conn = socket.socket()
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+    conn.connect(proxy.address)
+    conn.setblocking(False)
+    proxy.socks.append(conn)
+    proxy.turn()
+    conn.sendall(data)
+    proxy.turn()
+    return conn
+
+
+def test_a_long_value_that_breaks_off_frees_its_connection_though_the_client_reads_nothing(rig):
+    proxy = rig()
+    unreading_client(proxy, read("long")[0])
+    node = proxy.nodes[0].take()
+    name = proxy.got(node, b"\r\n").split()[3][1:]
+    node.sendall(b"VA %d O%s\r\n" % (len(LONG_VALUE), name))
+    proxy.until(lambda: proxy.service.side.stream_count)
+
+    def passed_on():
+        try:
+            node.send(LONG_VALUE[:100_000])
+        except BlockingIOError:
+            return True
+        return False
+
+    proxy.until(passed_on)  # as far as the client's kernel, ours and the buffers between take it
+    still_ms = proxy.now() + STREAM_STALL_MS + SLACK_MS
+    assert play_until(proxy, lambda: not proxy.service.side.stream_count, still_ms)
+    by_ms = proxy.now() + LAST_READ_TIMEOUT_MS + SLACK_MS
+    assert play_until(proxy, lambda: not connections(proxy), by_ms)
+    assert "broken_value" in proxy.log.getvalue()
+
+
+def test_a_client_that_does_not_close_its_side_after_ours_is_disconnected(rig):
+    proxy = rig()
+    conn = proxy.client(b"mn\r\n")
+    assert play_until(proxy, lambda: not connections(proxy), proxy.now() + IDLE_TIMEOUT_MS + 2000.0)
+    assert proxy.ended(conn).startswith(b"MN\r\n")
+    assert "idle, open for 11" in proxy.log.getvalue()
+    assert CLOSE_TIMEOUT_MS == 1000.0
+
+
+def test_a_client_that_reads_none_of_its_answers_is_disconnected(rig):
+    proxy = rig()
+    driver = NodeDriver(proxy)
+    NotReadingMuch(proxy)
+    served_ms = proxy.now() + 3000.0
+    while proxy.now() < served_ms:
+        proxy.skip(20)
+        driver.step()
+    by_ms = proxy.now() + READ_TIMEOUT_MS + CHECK_INTERVAL_MS + SLACK_MS
+    assert play_until(proxy, lambda: not connections(proxy), by_ms)
+    assert ": not_reading, " in proxy.log.getvalue()
+
+
+def test_a_client_that_reads_slowly_is_not(rig):
+    proxy = rig()
+    driver = NodeDriver(proxy)
+    client = NotReadingMuch(proxy)
+    by_ms = proxy.now() + 1.5 * READ_TIMEOUT_MS
+    while proxy.now() < by_ms:
+        proxy.skip(20)
+        driver.step()
+        client.read_some(SLOW_READ_BYTES)
+    assert connections(proxy)
+
+
+def test_a_write_that_runs_on_for_a_client_that_left_does_not_hold_a_process_that_stops(rig):
+    proxy = rig()
+    conn = proxy.client(write(1, 30_000))
+    proxy.got(proxy.origin.take(), b"PUT /k1 ")
+    conn.close()
+    proxy.until(lambda: not connections(proxy))
+    assert proxy.service.dispatcher.open_count
+    longest_ms = max(cls.deadline_ms for cls in proxy.service.facade.settings.classes)
+    kill_ms = proxy.now() + min(longest_ms, MAX_COUNTED_DEADLINE_MS) + KILL_DELAY_MS
+    proxy.service.stop()
+    assert play_until(proxy, lambda: proxy.reactor.stopped, kill_ms)
