Move the stand-ins of real processes from the tests to lab/loopback

A move, before the soak uses them: cache nodes, origin, discovery, requests and the event time of the fleet tests, typed and documented as the rest of lab/.

--- /dev/null
+++ b/lab/loopback/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of a real proxy's neighbours on loopback: cache nodes, origin, discovery, and requests."""
--- a/tests/fleet_clients.py
+++ b/tests/fleet_clients.py
@@ -4,51 +4,19 @@
 
 import asyncio
 import contextlib
-import itertools
 import random
 import time
-from dataclasses import dataclass
-
-from event_time import EventTime
-from fleet_nodes import receipt_for, value_for
 
 from lab.invariant_checker import InvariantChecker, RequestHistory
+from lab.loopback.event_time import EventTime
+from lab.loopback.requests import EFFECTS, Request, new_name
 
 KINDS = {"key": 5, "hang": 3, "miss": 1, "slow": 1}  # how often each is asked for
-EFFECTS = {"page": "retryable", "adjust": "dedup", "order": "fragile"}
 WINDOW_S = 1.5  # of `adjust`
 LATE_S = 3.0  # what is not answered so long after its time is lost, on the busiest machine
 LEAVES_AFTER_S = 0.05
 NEVER = "never answered"
 
-_numbers = itertools.count(1)
-
-
-@dataclass(frozen=True)
-class Request:
-    """One request as it is sent."""
-
-    name: str
-    kind: str  # what its key begins with, see `fleet_nodes`
-    class_name: str
-    wait_ms: int
-
-    def encode(self) -> bytes:
-        info = f"c={self.class_name},t=acme,d={self.wait_ms}"
-        key = f"{self.kind}-{self.name}"
-        if self.class_name == "page":
-            return f"mg {key} v O{self.name} P{info}\r\n".encode()
-        return f"ms {key} 2 O{self.name} P{info},k=0123456789abcdef\r\nab\r\n".encode()
-
-    @property
-    def right(self) -> bytes:
-        """The one answer that serves it."""
-        name = self.name.encode()
-        if self.class_name != "page":
-            return b"HD O%s c%s\r\n" % (name, receipt_for(self.name))
-        value = value_for(self.name)
-        return b"VA %d O%s\r\n%s\r\n" % (len(value), name, value)
-
 
 class Clients:
     """Steady load on one proxy until `stop`; each of them has one request out at a time."""
@@ -82,7 +50,7 @@
     def _draw(self) -> Request:
         kind = self._random.choices(list(self.kinds), list(self.kinds.values()))[0]
         class_name = self._random.choices(list(EFFECTS), [8, 1, 1])[0]
-        return Request(f"r{next(_numbers)}", kind, class_name, self._random.randrange(300, 900))
+        return Request(new_name(), kind, class_name, self._random.randrange(300, 900))
 
     def _sent(self, request: Request) -> None:
         now = time.monotonic()
@@ -156,7 +124,7 @@
             stream = await self._connect()
             if stream is None:
                 continue
-            request = Request(f"r{next(_numbers)}", "hang", "page", 1500)
+            request = Request(new_name(), "hang", "page", 1500)
             self._sent(request)
             stream[1].write(request.encode())
             await asyncio.sleep(LEAVES_AFTER_S)
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -15,12 +15,12 @@
 from functools import partial
 from pathlib import Path
 
-from event_time import EventTime
 from fleet_clients import Clients
-from fleet_nodes import CacheNode, Discovery, Origin
 from stepped_start import DOUBLE, SEEN_AT, SIZE, STEP_AT
 
 from lab.invariant_checker import InvariantChecker
+from lab.loopback.event_time import EventTime
+from lab.loopback.nodes import CacheNode, Discovery, Origin
 from lab.processes import PATIENCE_S, ROOT, free_port
 from lab.proxy_testbed import SETTINGS
 from lab.scenario import InvariantLimits
--- a/tests/test_wall_clock_steps.py
+++ b/tests/test_wall_clock_steps.py
@@ -9,6 +9,8 @@
 import pytest
 from fleet_rig import Fleet
 
+from lab.loopback.nodes import DiscoveryMode
+
 HOUR_S = 3600.0
 STEPS = [-HOUR_S, -5.0, 5.0, HOUR_S]
 BACK = [-step_s for step_s in STEPS]
@@ -78,7 +80,7 @@
 
     async def story(fleet):
         for proxy in fleet.proxies:
-            proxy.discovery.silent = silent
+            proxy.discovery.mode = DiscoveryMode.SILENT if silent else DiscoveryMode.NORMAL
         await fleet.step(STEPS)
         leaving = fleet.member(fleet.nodes[0], "terminating")
         for proxy in fleet.proxies:
@@ -86,7 +88,7 @@
         calls = [proxy.discovery.calls for proxy in fleet.proxies]
         await fleet.calls_of_discovery(calls)  # the silent watch is found out
         for proxy in fleet.proxies:
-            proxy.discovery.silent = False
+            proxy.discovery.mode = DiscoveryMode.NORMAL
         await fleet.told(leaving)
 
     play(tmp_path, story)
