Take the age of a queued request's bytes from the kernel, and time out before the guard

Change: where the connection waited, TCP_INFO's tcpi_last_data_recv says how old the bytes are; it only ever takes time off, and nothing where the kernel can't tell.

Change: the guard times out what is still out, and the balancer, which knows that a read may be repeated, has the last word.

--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -28,6 +28,7 @@
 MAX_WRITE = 64 * 1024  # bytes of the value in a client's command
 PEEK = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 PIECE = 64 * 1024  # bytes that the transport is given at once
+LAST_DATA_RECEIVED_AT = 52  # of `tcpi_last_data_recv` in Linux's `tcp_info`, bytes
 POLL_TRIES = 3  # of a poll that failed for want of memory
 
 
@@ -60,6 +61,16 @@
     return None
 
 
+def received_ago_ms(handle: socket.socket) -> float:
+    """Returns how long ago the last bytes came in, read or not; 0 if the kernel can't tell."""
+    try:
+        info = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED_AT + 4)
+        (ago_ms,) = struct.unpack_from("I", info, LAST_DATA_RECEIVED_AT)
+    except (OSError, struct.error):
+        return 0.0
+    return float(ago_ms)
+
+
 def unsent(handle: socket.socket | int) -> int:
     """Returns the bytes that the kernel has taken and the other side not acknowledged; 0 if it can't tell."""
     try:
--- a/cloverwell/connections/arrival.py
+++ b/cloverwell/connections/arrival.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 # What a request keeps of its time at the least if its connection waited to be accepted, however long that
-# may have been. A node may be told 0.15 s too much; a client whose time is over has closed its new
-# connection, and that close is seen first.
+# may have been. A node may be told 0.15 s too much. What the kernel knows of the bytes' age takes more off.
 MIN_REMAINING_MS = 100.0
 
 
@@ -18,12 +17,12 @@
     __slots__ = (
         "_bytes_queued",
         "_bytes_since_ms",
-        "_command_queued",
         "_command_since_ms",
         "_read_ms",
         "_unread_queued",
         "_unread_since_ms",
         "begun_ms",
+        "command_queued",
     )
 
     def __init__(self) -> None:
@@ -35,7 +34,7 @@
         self._bytes_since_ms = 0.0  # the bytes that were read last,
         self._unread_since_ms: float | None = None  # and what is read next, if reading was paused.
         # Whether that time includes waiting to be accepted.
-        self._command_queued = False
+        self.command_queued = False
         self._bytes_queued = False
         self._unread_queued = False
 
@@ -79,12 +78,12 @@
     def command_complete(self) -> None:
         """Record that the current command is complete: the next one came with the last bytes."""
         self._command_since_ms = self._bytes_since_ms
-        self._command_queued = self._bytes_queued
+        self.command_queued = self._bytes_queued
         self.begun_ms = self._read_ms
 
     def remaining_ms(self, now: float, timeout_ms: float) -> float:
         """Return what is left at the least of the client's timeout for the current command."""
         remaining_ms = timeout_ms - max(0.0, now - self._command_since_ms)
-        if not self._command_queued:
+        if not self.command_queued:
             return remaining_ms
         return max(remaining_ms, min(timeout_ms, MIN_REMAINING_MS))
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -288,7 +288,13 @@
             self._counts.highest("deadline.exceeded_at_send_ms", excess_ms)
 
     def _fail_at_deadline(self, request: Request) -> None:
-        """Fails a request that is still open; the balancer ends each in time unless one of us is at fault."""
+        """Ends a request that is still open; the balancer ends each in time unless one of us is at fault.
+
+        An attempt may have its timeout in this very tick. The balancer then has the last word: it knows
+        whether the request may be repeated without harm.
+        """
+        for attempt in list(request.attempts.values()):
+            attempt.pool.give_up(attempt, AttemptOutcome.TIMED_OUT)
         if not request.over:
             self._log.warn("overdue", f"request {request.id} was failed at its deadline")
             self._fail(request)
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from cloverwell.codec.lines import PEEK, hung_up
+from cloverwell.codec.lines import PEEK, hung_up, received_ago_ms
 from cloverwell.codec.meta import CommandFields
 from cloverwell.codec.steady_socket import TryAgainError
 from cloverwell.codec.transport import close_both_sides
@@ -137,6 +137,11 @@
 
     def request_received(self, fields: CommandFields, write: bool, value: bytes) -> None:
         """Start a request, whose response has its place behind those of the commands before it."""
+        # The client's timeout counts from the first byte, which may have been unread for a while, or have
+        # come long before the last one.
+        left_ms = self._arrival.remaining_ms(self._owner.timer_wheel.now(), fields.wait_ms)
+        if self._arrival.command_queued:
+            left_ms = min(left_ms, fields.wait_ms - received_ago_ms(self._socket))
         response = PendingResponse()
         request = response.request = Request(
             id=fields.id,
@@ -144,9 +149,7 @@
             tenant=fields.tenant,
             key=fields.key,
             write=write,
-            # The client's timeout counts from the first byte, which may have been unread for a while, or have
-            # come long before the last one.
-            left_ms=self._arrival.remaining_ms(self._owner.timer_wheel.now(), fields.wait_ms),
+            left_ms=left_ms,
             value=value,
             info=fields.info,
             answer=partial(self._respond, response),
--- a/lab/connection_end.py
+++ b/lab/connection_end.py
@@ -287,6 +287,10 @@
         """The socket under this transport."""
         return self.socket
 
+    def getsockopt(self, *_option: int) -> bytes:
+        """The socket's own: this kernel tells nothing of its connections."""
+        raise OSError(errno.ENOPROTOOPT, "no such option here")
+
     def getHost(self) -> IPv4Address:
         """The address of this side."""
         return self._addresses[0]
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -86,6 +86,9 @@
     def shutdown(self, how):
         self.shut = True
 
+    def getsockopt(self, *option):
+        raise OSError
+
     def recv(self, number, flags=0):
         if not self.unread:
             raise BlockingIOError
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -85,6 +85,19 @@
     assert "overdue" not in player.log.getvalue()
 
 
+def test_an_attempt_that_is_out_when_the_guard_comes_is_timed_out_before_its_request_is_failed():
+    # Seen in the soak: a read that was sent again 13 ms before its deadline. Its last attempt had the least
+    # timeout, a tick, and both timers fell on one tick of the wheel, the guard's before the attempt's.
+    player = Player()
+    player.play("client send mg k1 v O1 Pc=page,t=acme,d=300\ns1 expect mg *")
+    (request,) = player.service.dispatcher._open.values()
+    (attempt,) = request.attempts.values()
+    attempt.timer.cancel()  # the order in that tick, forced
+    player.play("wait 300\nclient expect SERVER_ERROR busy*\nclient expect nothing")
+    assert "overdue" not in player.log.getvalue()
+    assert "node_close: s1: given_up, requests 1" in player.log.getvalue()
+
+
 @pytest.mark.parametrize(
     ("limits", "answer"),
     [({"max-retry-after": 300.0}, "busy 300"), ({"retry-after": False}, "busy")],
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -5,6 +5,7 @@
 import select
 import signal
 import socket
+import sys
 from types import SimpleNamespace
 
 import pytest
@@ -12,7 +13,7 @@
 from rig import Rig, read, write
 
 from cloverwell.codec import lines
-from cloverwell.codec.lines import hung_up, readable
+from cloverwell.codec.lines import hung_up, readable, received_ago_ms
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.node_policy import ConnectionUse
 from lab.proxy_testbed import SETTINGS
@@ -339,3 +340,27 @@
     proxy.skip(300)
     assert proxy.origin._accept() is None
     assert not proxy.service.side.connections
+
+
+class Telling:
+    """A socket whose kernel tells that much of its connection, or fails."""
+
+    def __init__(self, info):
+        self.info = info
+
+    def getsockopt(self, level, option, size):
+        if isinstance(self.info, OSError):
+            raise self.info
+        return self.info[:size]
+
+
+@pytest.mark.parametrize("info", [OSError(errno.ENOPROTOOPT, ""), OSError(errno.EINVAL, ""), b"", b"x" * 54])
+def test_bytes_whose_age_the_kernel_can_not_tell_count_as_new(info):
+    assert received_ago_ms(Telling(info)) == 0.0
+
+
+def test_the_age_of_the_last_bytes_is_read():
+    assert received_ago_ms(Telling(bytes(52) + (1234).to_bytes(4, sys.byteorder) + bytes(40))) == 1234.0
+    left, right = socket.socketpair()
+    with left, right:  # no TCP connection
+        assert received_ago_ms(left) == 0.0
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -5,6 +5,7 @@
 import json
 import re
 import socket
+import time
 
 import msgspec
 import pytest
@@ -182,6 +183,22 @@
     assert propagated_deadline_ms(node, proxy) <= 1900 - waited_ms + SLACK_MS
 
 
+def test_a_request_whose_time_passed_while_it_waited_to_be_accepted_is_not_forwarded(rig):
+    # Seen in the soak: what waited for 0.6 s with 0.3 s left told its node 86 ms. The queue gives a lower
+    # bound of what is left, and the kernel knows when the bytes came.
+    proxy = rig(sockets=64)
+    crowd = [proxy.client() for _ in range(60)]
+    proxy.turn()
+    assert proxy.service.side._full
+    conn = proxy.client()
+    conn.sendall(write(1, 300))
+    time.sleep(0.6)  # of the kernel's clock, which no test moves
+    for idle in crowd:
+        idle.close()
+    assert proxy.got(conn, b"\r\n").startswith(b"SERVER_ERROR busy")
+    assert proxy.origin._accept() is None
+
+
 def test_who_connects_when_the_crowd_is_over_has_all_of_its_time(rig):
     proxy = rig(sockets=64)
     crowd = [proxy.client() for _ in range(60)]
