Add a soak of real processes under series of faults, judged from outside

It proves itself with three defects put in.

Option not taken: the simulation in virtual time, where nothing of the kernel, the signals and the end of a process is real.

--- a/cloverwell/__main__.py
+++ b/cloverwell/__main__.py
@@ -58,6 +58,15 @@
     )
 
 
+def ignore_signals() -> None:
+    """Has a signal that comes while the interpreter ends change nothing: all is answered and closed.
+
+    Python's end puts each handler back to the default, which is the end by the signal, but for ignored ones.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def main() -> int:
     """Serves until a graceful shutdown has ended; returns the exit code."""
     try:
@@ -82,6 +91,7 @@
         return _fail(f"{field}: {error}")
     tune_garbage_collector()
     reactor.run(installSignalHandlers=False)
+    ignore_signals()
     return 0
 
 
--- a/lab/cli.py
+++ b/lab/cli.py
@@ -11,6 +11,7 @@
 from lab.scenario import load, names
 from lab.scenario_error import ScenarioError
 from lab.simulation import Simulation
+from lab.soak.cli import soak
 
 BROKEN = 1  # exit code where a rule broke
 
@@ -26,6 +27,7 @@
 
 
 lab.add_command(scale)
+lab.add_command(soak)
 
 
 @lab.command("list")
--- /dev/null
+++ b/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The soak: real processes under series of faults, judged from outside by the operators' rules."""
--- /dev/null
+++ b/lab/soak/defects.py
@@ -0,0 +1,53 @@
+"""Defects that are put into a proxy to see that the soak finds them, by name."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+LATE_MS = 2000.0
+
+
+def put_in_drain_without_end() -> None:
+    """A drain closes connections between requests, and has no instant for all others."""
+    from cloverwell import serving
+
+    endless = dict.fromkeys(
+        ("reject_ms", "close_mid_command_ms", "answer_ms", "end_ms", "release_ms", "stream_ms"), float("inf")
+    )
+    serving.DRAIN_SCHEDULE = replace(serving.DRAIN_SCHEDULE, **endless)
+
+
+def put_in_flush_past_the_kill() -> None:
+    """A stopping process gives its clients time beyond the kill to read and close."""
+    from cloverwell import serving
+
+    real = serving.shutdown_schedule
+
+    def late(longest_deadline_ms: float, handed_over: bool) -> serving.DrainSchedule:
+        schedule = real(longest_deadline_ms, handed_over)
+        bounds = {
+            name: getattr(schedule, name) + LATE_MS
+            for name in ("end_ms", "release_ms", "stream_ms", "linger_ms")
+        }
+        return replace(schedule, **bounds)
+
+    serving.shutdown_schedule = late
+
+
+def put_in_attempt_after_leave() -> None:
+    """A client's close is not told to the dispatcher, so that its requests are sent and retried on."""
+    from cloverwell.dispatcher import Dispatcher
+    from cloverwell.request import Request
+
+    def ignore(_dispatcher: Dispatcher, _requests: list[Request]) -> None:
+        """Do nothing."""
+
+    Dispatcher.client_disconnected = ignore  # type: ignore
+
+
+DEFECTS: dict[str, Callable[[], None]] = {
+    "drain-without-end": put_in_drain_without_end,
+    "flush-past-kill": put_in_flush_past_the_kill,
+    "attempt-after-leave": put_in_attempt_after_leave,
+}
