--- a/lab/soak/oracle.py
+++ b/lab/soak/oracle.py
@@ -130,7 +130,7 @@
     def connection_ended(
         self, pending: Iterable[SentRequest], story: ConnectionStory, answers: int, how: str
     ) -> None:
-        """Judge the requests without an answer on a connection that the proxy ended."""
+        """Check the requests without an answer on a connection that the proxy ended."""
         ended_s = self.event_time.came_s()
         story.note(how)
         for sent in pending:
@@ -158,7 +158,7 @@
         self.breach("lost", story.proxy, why, story)
 
     def kept_waiting(self, story: ConnectionStory, since_s: float) -> None:
-        """Judge a client that stopped in the middle of a request, once it has its error or the close."""
+        """Check on a client that stopped in the middle of a request, once it has its error or the close."""
         waited_s = self.event_time.came_s() - since_s
         if waited_s > BAD_CLIENT_S + SLACK_S:
             self.breach("bad client", story.proxy, f"it waited {waited_s:.3f} s for an error", story)
