--- a/tests/test_states_against_ends.py
+++ b/tests/test_states_against_ends.py
@@ -10,10 +10,13 @@
 from closing_states import STATES, Crowding, NodeDriver, NoReader, Record, SlowReader
 from rig import PATIENCE_S, Rig
 
+from lab.proxy_testbed import SETTINGS
+
 STEP_MS = 20
 TICK_MS = 25.0  # the wheel's, and a step of the play
 DRAIN_BOUND_MS = 4000.0  # the page's
-KILL_MS = 2000.0 + 700.0  # the page's: the longest deadline of the rig's settings, and 0.7 s
+LONGEST_MS = 2000.0  # the longest deadline, where the play does not say otherwise
+MAX_COUNTED_MS, KILL_DELAY_MS = 3000.0, 700.0  # the page's: a longer one counts as that; then the kill
 STREAMS = (SlowReader, NoReader)  # a long value that has begun is passed on, with a bound of its own
 STREAM_BOUND_MS = 10_000.0
 
@@ -21,8 +24,12 @@
 class EndRun:
     """One proxy with a client of each state, and what became of them."""
 
-    def __init__(self, monkeypatch, states=STATES, sockets=256):
-        self.rig = Rig(sockets=sockets)
+    def __init__(self, monkeypatch, states=STATES, sockets=256, longest_ms=LONGEST_MS):
+        classes = [
+            cls | {"deadline": longest_ms, "objective": min(500.0, longest_ms)} for cls in SETTINGS["classes"]
+        ]
+        self.kill_ms = min(longest_ms, MAX_COUNTED_MS) + KILL_DELAY_MS  # behind SIGTERM
+        self.rig = Rig(sockets=sockets, settings=SETTINGS | {"classes": classes})
         self.record = Record(self.rig, monkeypatch)
         self.driver = NodeDriver(self.rig)
         self.clients = {state: state(self.rig) for state in states}
@@ -55,7 +62,7 @@
         if self.drained_ms is not None:
             bounds.append(self.drained_ms + DRAIN_BOUND_MS)
         if self.stopped_ms is not None:
-            bounds.append(self.stopped_ms + KILL_MS)
+            bounds.append(self.stopped_ms + self.kill_ms)
         self.bound_ms = min(bounds)
         self.go_on(max(bounds) - self.rig.now() + 100)
         for client in self.clients.values():
@@ -126,12 +133,16 @@
 ]
 
 
-@pytest.fixture(scope="module", params=ENDS, ids=lambda end: end.__name__)
+PLAYS = [(end, LONGEST_MS) for end in ENDS] + [(stop, ms) for ms in (300.0, 400.0, 1000.0, 2500.0, 5000.0)]
+
+
+@pytest.fixture(scope="module", params=PLAYS, ids=lambda play: f"{play[0].__name__}-{play[1]:g}")
 def play(request):
+    end, longest_ms = request.param
     with pytest.MonkeyPatch.context() as monkeypatch:
-        made = EndRun(monkeypatch)
+        made = EndRun(monkeypatch, longest_ms=longest_ms)
         try:
-            request.param(made)
+            end(made)
             made.finish()
             yield made
         finally:
@@ -167,7 +178,7 @@
         assert not play.rig.reactor.stopped  # drained, it stays up
     else:
         assert play.ended_ms is not None
-        assert play.ended_ms < play.stopped_ms + KILL_MS
+        assert play.ended_ms < play.stopped_ms + play.kill_ms
 
 
 # Connections that wait to be accepted -------------------------------------------------------------
