Answer what can be read before a connection is closed for being late

One late tick brought both the answer of all that was open and the last instant of our side, and `end_our_side` put what it read behind the limit's hold, unhandled (_parse_without_pause looked at malformed commands only).

While all requests are rejected a connection is read by 8 KiB at once, in place of 64: a client that floods took 70 ms of each turn of the loop, and delayed the end past the kill (stop at 0.4 s, forced by the play of states against ends).

The play's PipelineCap has writes now, and 20 commands in the kernel: the hang reads were answered early.

--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -29,6 +29,7 @@
 PEEK = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 PIECE = 64 * 1024  # bytes that the transport is given at once
 LAST_DATA_RECEIVED_AT = 52  # of `tcpi_last_data_recv` in Linux's `tcp_info`, bytes
+MAX_DISCARD_READS = 16  # of `PIECE` bytes each
 POLL_TRIES = 3  # of a poll that failed for want of memory
 
 
@@ -61,6 +62,21 @@
     return None
 
 
+def read_now(handle: socket.socket, size: int) -> bytes:
+    """Returns what can be read at once of a socket that does not block; nothing if that is not known."""
+    try:
+        return handle.recv(size)
+    except OSError:
+        return b""
+
+
+def discard_unread(handle: socket.socket) -> None:
+    """Reads and drops what has come in, up to a bound: a close over unread bytes would be a reset."""
+    for _ in range(MAX_DISCARD_READS):
+        if not read_now(handle, PIECE):
+            return
+
+
 def received_ago_ms(handle: socket.socket) -> float:
     """Returns how long ago the last bytes came in, read or not; 0 if the kernel can't tell."""
     try:
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from cloverwell.codec.lines import PEEK, hung_up, received_ago_ms
+from cloverwell.codec.lines import PEEK, discard_unread, hung_up, read_now, received_ago_ms
 from cloverwell.codec.meta import CommandFields
 from cloverwell.codec.steady_socket import TryAgainError
 from cloverwell.codec.transport import close_both_sides
@@ -31,8 +31,7 @@
 MAX_MALFORMED_COMMANDS = 24
 MALFORMED_COMMAND_PAUSE_MS = 50.0
 DISCARD_PAUSE_MS = 5.0  # between two reads of what is discarded once framing is lost
-FINAL_READ_BYTES = 64 * 1024  # of what is unread when our side is closed whatever is
-MAX_DISCARD_READS = 16  # of that size, before both sides are closed: unread bytes would make it a reset
+FINAL_READ_BYTES = 8 * 1024  # of what is unread when a connection is closed whatever is
 STREAM_PIECE_BYTES = 32 * 1024  # bytes that the transport holds while its client does not read
 
 
@@ -340,36 +339,38 @@
         What has been read and what can be read at once is answered first. What comes later has crossed the
         close, and the client sends it elsewhere.
         """
-        self._parse_without_pause()
-        with contextlib.suppress(OSError):
-            if data := self._socket.recv(FINAL_READ_BYTES):
-                self.dataReceived(data)
-                self._parse_without_pause()
+        self._handle_unread()
         if not (self.ended or self._lost or self._responses.pending or self._writing):
             self._close_our_side(reason)
 
-    def _parse_without_pause(self) -> None:
-        """Answer the commands that wait behind malformed ones; so many of these in a row end that."""
-        while self._throttled and not (self._lost or self.ended) and len(self._in):
-            unparsed_bytes = len(self._in)
+    def _handle_unread(self) -> None:
+        """Handle the commands that wait, and some of those that can be read at once."""
+        self._handle_waiting_commands()
+        if not self.ended and (data := read_now(self._socket, FINAL_READ_BYTES)):
+            self.dataReceived(data)
+            self._handle_waiting_commands()
+
+    def _handle_waiting_commands(self) -> None:
+        """Handle what has been read and waits behind malformed commands, or at the pipeline limit."""
+        while (self._held or self._throttled) and not (self._lost or self.ended or self._responses.pending):
+            waiting_bytes = len(self._in)
             self._throttled = False
             self.release()
-            if len(self._in) == unparsed_bytes:
+            if waiting_bytes and len(self._in) == waiting_bytes:
                 return
 
     def close_now(self, reason: CloseReason) -> list[Request]:
         """Close both sides; return the requests that are still open, which get no answer.
 
-        What the kernel has taken still reaches the client. What it has not taken for so long is dropped: the
-        client reads nothing, and can tell by the length that an answer is not whole.
+        What can be read at once is answered first. What the kernel has taken still reaches the client. The
+        rest is dropped: such a client reads nothing, and can tell by the length that an answer is not whole.
         """
+        if not (self.ended or self._responses.pending):
+            self._handle_unread()
         self.closing_because(reason)
         open_requests = self._responses.abandon()
         self.ended = True
-        with contextlib.suppress(OSError):
-            for _ in range(MAX_DISCARD_READS):
-                if not self._socket.recv(FINAL_READ_BYTES):
-                    break
+        discard_unread(self._socket)
         close_both_sides(self.transport)
         return open_requests
 
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -31,6 +31,9 @@
 
 BACKLOG = 512  # connections that the kernel lets wait to be accepted
 POLICY_CHECK_INTERVAL_MS = 50.0
+READ_BYTES = 64 * 1024  # of one connection in an iteration of the event loop, as Twisted has it
+# The same while all requests are rejected: some 130 commands, which take 10 ms.
+REJECTING_READ_BYTES = 8 * 1024
 # Between two checks of the connections that are not read. With a tick that is late by up to `STALL_MS`, a
 # client's close is known within half of the 100 ms after which no attempt may begin for it.
 DISCONNECT_CHECK_INTERVAL_MS = 25.0
@@ -107,6 +110,7 @@
         self._unread_responses: UnreadResponses[ClientConnection] = UnreadResponses()
         self.is_closing = False
         self._rejects_all = False
+        self._read_bytes = READ_BYTES
         self._logger = Logger(namespace="clients")
         self._queue = AcceptQueue(BACKLOG + 1)  # Linux lets one more connection wait than the backlog.
         self.request_descriptor: Callable[[], object] = lambda: None  # of the nodes' side
@@ -319,6 +323,7 @@
         self.is_closing = self.serving.closes_idle_connections(now)
         if not self.timer_wheel.just_stalled:  # else what is read next may have come before
             self._rejects_all = self.serving.rejects_requests(now)
+        self._limit_reads()
         if not self.is_closing:
             return
         for connection in list(self.connections):
@@ -327,6 +332,14 @@
             except Exception:  # one that fails must not keep the others open
                 self._logger.failure("closing a connection")
 
+    def _limit_reads(self) -> None:
+        """Read less at once while all requests are rejected: a client that floods must not delay the end."""
+        read_bytes = REJECTING_READ_BYTES if self._rejects_all else READ_BYTES
+        if self._rejects_all or read_bytes != self._read_bytes:
+            for connection in self.connections:
+                connection.transport.bufferSize = read_bytes
+        self._read_bytes = read_bytes
+
     def advance_closing(self, connection: ClientConnection) -> None:
         """Close the connection as far as it is due, while the process is drained or stops."""
         now, after_stall = self.timer_wheel.now(), self.timer_wheel.just_stalled
--- a/lab/loopback/nodes.py
+++ b/lab/loopback/nodes.py
@@ -138,23 +138,37 @@
         self._checker = checker
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer the reads of a connection in their order."""
-        while line := await reader.readline():
-            words = line.decode().split()
-            key = words[1]
-            name = next(word[1:] for word in words if word.startswith("O"))
-            info = next(word[1:] for word in words if word.startswith("P"))
-            self.attempts += 1
-            self._checker.attempt(self.event_time.came_s(), name, self.name, told_ms(info))
-            self.arrived(name)
-            await self._answer(reader, writer, key, name)
-
-    async def _answer(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, key: str, name: str
+        """Take each read as it comes, and answer them in their order."""
+        taken: asyncio.Queue[tuple[str, str]] = asyncio.Queue()
+        answering = asyncio.create_task(self._answer_in_order(writer, taken))
+        try:
+            while line := await reader.readline():
+                taken.put_nowait(self._take(line.decode().split()))
+        finally:
+            answering.cancel()
+            await asyncio.gather(answering, return_exceptions=True)
+        if not answering.cancelled() and (error := answering.exception()) is not None:
+            raise error
+
+    def _take(self, words: list[str]) -> tuple[str, str]:
+        """Report an attempt, and return its key and its request's name."""
+        name = next(word[1:] for word in words if word.startswith("O"))
+        info = next(word[1:] for word in words if word.startswith("P"))
+        self.attempts += 1
+        self._checker.attempt(self.event_time.came_s(), name, self.name, told_ms(info))
+        self.arrived(name)
+        return words[1], name
+
+    async def _answer_in_order(
+        self, writer: asyncio.StreamWriter, taken: asyncio.Queue[tuple[str, str]]
     ) -> None:
+        while True:
+            key, name = await taken.get()
+            await self._answer(writer, key, name)
+
+    async def _answer(self, writer: asyncio.StreamWriter, key: str, name: str) -> None:
         if key.startswith("hang") or self.mode is NodeMode.HANG:
-            await _until_closed(reader)
-            return
+            await asyncio.Event().wait()  # until the connection ends: behind it no other is answered
         if self.mode is NodeMode.RESET:
             _reset(writer)
         if key.startswith("slow"):
--- a/tests/closing_states.py
+++ b/tests/closing_states.py
@@ -192,8 +192,13 @@
 class PipelineCap(Client):
     """More commands than are read while none is answered."""
 
+    sent = MAX_PIPELINED_COMMANDS + 20
+
     def begin(self):
-        self.send(b"".join(read("hang", 30_000)[0] for _ in range(MAX_PIPELINED_COMMANDS + 20)))
+        commands = [write("hang", 30_000)[0] for _ in range(self.sent)]
+        self.send(b"".join(commands[:MAX_PIPELINED_COMMANDS]))
+        self.rig.turn()
+        self.send(b"".join(commands[MAX_PIPELINED_COMMANDS:]))  # these stay in the kernel
 
 
 class HalfCommand(Client):
--- a/tests/test_states_against_ends.py
+++ b/tests/test_states_against_ends.py
@@ -7,9 +7,22 @@
 import time
 
 import pytest
-from closing_states import STATES, Crowding, NodeDriver, NoReader, Record, SlowReader
+from closing_states import (
+    STATES,
+    Crowding,
+    Hanging,
+    Malformed,
+    NodeDriver,
+    NoReader,
+    OverlappingAHang,
+    PipelineCap,
+    Record,
+    SlowReader,
+)
 from rig import PATIENCE_S, Rig
 
+from cloverwell import serving
+from cloverwell.serving import KILL_MARGIN_MS
 from lab.proxy_testbed import SETTINGS
 
 STEP_MS = 20
@@ -35,6 +48,7 @@
         self.clients = {state: state(self.rig) for state in states}
         self.drained_ms = self.stopped_ms = None
         self.ended_ms = None
+        self._watch_the_end()
         self.go_on(200)
 
     def go_on(self, ms):
@@ -45,8 +59,16 @@
             self.driver.step()
             for client in self.clients.values():
                 client.advance(self.rig.now())
-            if self.rig.reactor.stopped and self.ended_ms is None:
-                self.ended_ms = self.rig.now()
+
+    def _watch_the_end(self):
+        """The end counts from when the program asks for it, not from when this play looks."""
+        stop = self.rig.reactor.stop
+
+        def stopped():
+            self.ended_ms = self.rig.now()
+            stop()
+
+        self.rig.reactor.stop = stopped
 
     def drain(self):
         self.drained_ms = self.rig.now()
@@ -167,6 +189,11 @@
         assert client.answers() == asked
 
 
+def test_what_stood_unread_behind_the_pipeline_cap_has_its_answers_too(play):
+    client = play.clients[PipelineCap]
+    assert client.answers() == client.sent
+
+
 @pytest.mark.parametrize("state", STATES, ids=lambda state: state.__name__)
 def test_the_end_of_a_connection_is_no_reset(play, state):
     client = play.clients[state]
@@ -181,6 +208,28 @@
         assert play.ended_ms < play.stopped_ms + play.kill_ms
 
 
+# Instants that fall together ----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("margin_ms", [KILL_MARGIN_MS, KILL_MARGIN_MS - 20.0])
+def test_where_a_late_tick_brings_all_instants_at_once_what_can_be_read_is_answered(monkeypatch, margin_ms):
+    # Seen in the soak: the tick that failed what was open was that of the close, and commands that stood
+    # behind the pipeline cap had no answer.
+    monkeypatch.setattr(serving, "RELEASE_MARGIN_MS", margin_ms)
+    states = [PipelineCap, OverlappingAHang, Hanging, Malformed]
+    play = EndRun(monkeypatch, states)
+    try:
+        play.stop()
+        play.finish()
+        for state in states:
+            client = play.clients[state]
+            assert client.answers() == len(play.record.read.get(client.peer, []))
+        assert play.clients[PipelineCap].answers() == PipelineCap.sent
+        test_a_process_that_stops_has_ended_before_the_kill(play)
+    finally:
+        play.rig.close()
+
+
 # Connections that wait to be accepted -------------------------------------------------------------
 
 
