--- a/lab/soak/cli.py
+++ b/lab/soak/cli.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
+import logging
 import time
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
@@ -93,5 +95,7 @@
     # The command's other uses need not import what a run does.
     from lab.soak.run import play
 
+    gc.disable()  # a collection would hold the loop up; a run is short
+    logging.getLogger("asyncio").setLevel(logging.ERROR)  # it warns of each write to a broken connection
     folder = None if logs is None else logs / f"seed-{plan.seed}"
     return asyncio.run(play(plan, defect, folder))
