--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -211,8 +211,8 @@
                 self._close_after_responses()
                 return
             # A client that always sends its next request at once is never seen idle by the periodic check.
-            if self._owner.is_closing and not self._parsing:
-                self._owner.advance_closing(self)
+            if self._owner.closing_process.is_closing and not self._parsing:
+                self._owner.closing_process.advance(self)
         elif pending[0].data is not None:
             self._owner.blocked_by_client(self)
         if len(pending) >= MAX_PIPELINED_COMMANDS:
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -6,7 +6,6 @@
 from typing import Protocol
 
 from twisted.internet.interfaces import IAddress
-from twisted.logger import Logger
 
 from balancer.api import Settings
 from cloverwell.codec.lines import unsent
@@ -14,11 +13,11 @@
 from cloverwell.connections.budget import DescriptorBudget, DescriptorSide
 from cloverwell.connections.client_policy import MAX_ACCEPTS_PER_ITERATION, ClientConnectionPolicy
 from cloverwell.connections.close_reason import CloseReason
-from cloverwell.connections.closing import ClosingStep, closing_step
 from cloverwell.connections.metrics import ConnectionEvent, ConnectionMetrics
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.front.client_closer import ClientCloser
 from cloverwell.front.client_connection import ClientConnection
+from cloverwell.front.connection_closing import ConnectionClosing
 from cloverwell.front.connection_report import describe_held
 from cloverwell.front.disconnect_detector import DisconnectDetector
 from cloverwell.front.port import BoundedFactory
@@ -31,9 +30,6 @@
 
 BACKLOG = 512  # connections that the kernel lets wait to be accepted
 POLICY_CHECK_INTERVAL_MS = 50.0
-READ_BYTES = 64 * 1024  # of one connection in an iteration of the event loop, as Twisted has it
-# The same while all requests are rejected: some 130 commands, which take 10 ms.
-REJECTING_READ_BYTES = 8 * 1024
 # Between two checks of the connections that are not read. With a tick that is late by up to `STALL_MS`, a
 # client's close is known within half of the 100 ms after which no attempt may begin for it.
 DISCONNECT_CHECK_INTERVAL_MS = 25.0
@@ -108,10 +104,7 @@
         self._metrics = metrics
         self._full = False
         self._unread_responses: UnreadResponses[ClientConnection] = UnreadResponses()
-        self.is_closing = False
-        self._rejects_all = False
-        self._read_bytes = READ_BYTES
-        self._logger = Logger(namespace="clients")
+        self.closing_process = ConnectionClosing(self.connections, serving, dispatcher, timer_wheel)
         self._queue = AcceptQueue(BACKLOG + 1)  # Linux lets one more connection wait than the backlog.
         self.request_descriptor: Callable[[], object] = lambda: None  # of the nodes' side
         timer_wheel.on_stall = self._check_after_stall
@@ -230,7 +223,7 @@
 
         Without the second, descriptors would run out: an accept that fails would lose requests.
         """
-        if self._rejects_all:
+        if self.closing_process.rejects_requests:
             self.dispatcher.note_rejected(request, "ending")
             return True
         if self.policy.states.active_count <= self._budget.max_active_clients:
@@ -286,7 +279,7 @@
         self._closer.close(expired, len(expired))
         for connection in self._unread_responses.to_check(now):
             if self._unread_responses.has_expired(connection, unsent(connection.fileno()), now):
-                self._close_now(connection, CloseReason.NOT_READING)
+                self.closing_process.close_now(connection, CloseReason.NOT_READING)
         self._keep_room()
         self._resume_accepting()
         self._check_accept_queue()
@@ -316,42 +309,3 @@
     def describe_held(self) -> str:
         """Return one line on the connections that are open now."""
         return describe_held(self.connections)
-
-    def check_closing(self) -> None:
-        """Close each connection as far as it is due; call this at each tick of a drain or a shutdown."""
-        now = self.timer_wheel.now()
-        self.is_closing = self.serving.closes_idle_connections(now)
-        if not self.timer_wheel.just_stalled:  # else what is read next may have come before
-            self._rejects_all = self.serving.rejects_requests(now)
-        self._limit_reads()
-        if not self.is_closing:
-            return
-        for connection in list(self.connections):
-            try:
-                self.advance_closing(connection)
-            except Exception:  # one that fails must not keep the others open
-                self._logger.failure("closing a connection")
-
-    def _limit_reads(self) -> None:
-        """Read less at once while all requests are rejected: a client that floods must not delay the end."""
-        read_bytes = REJECTING_READ_BYTES if self._rejects_all else READ_BYTES
-        if self._rejects_all or read_bytes != self._read_bytes:
-            for connection in self.connections:
-                connection.transport.bufferSize = read_bytes
-        self._read_bytes = read_bytes
-
-    def advance_closing(self, connection: ClientConnection) -> None:
-        """Close the connection as far as it is due, while the process is drained or stops."""
-        now, after_stall = self.timer_wheel.now(), self.timer_wheel.just_stalled
-        match closing_step(connection.closing_state(), self.serving.instants, now, after_stall):
-            case ClosingStep.END_IF_READ:
-                connection.close_between_requests(CloseReason.DRAIN)
-            case ClosingStep.CUT_COMMAND_IF_READ:
-                connection.close_between_requests(CloseReason.DRAIN, cut=True)
-            case ClosingStep.END:
-                connection.end_our_side(CloseReason.DRAIN)
-            case ClosingStep.RELEASE:
-                self._close_now(connection, CloseReason.DRAIN)
-
-    def _close_now(self, connection: ClientConnection, reason: CloseReason) -> None:
-        self.dispatcher.client_disconnected(connection.close_now(reason))
--- a/cloverwell/front/connection_owner.py
+++ b/cloverwell/front/connection_owner.py
@@ -10,6 +10,16 @@
 from cloverwell.timer_wheel import TimerWheel
 
 ConnectionT = TypeVar("ConnectionT")
+ClosedT = TypeVar("ClosedT", contravariant=True)
+
+
+class ClosingProcess(Protocol[ClosedT]):
+    """What closes the connections of a process that is drained or stops."""
+
+    is_closing: bool  # connections are closed between requests
+
+    def advance(self, connection: ClosedT) -> None:
+        """Close the connection as far as it is due."""
 
 
 class ConnectionOwner(Protocol[ConnectionT]):
@@ -24,7 +34,7 @@
         not_read: connections whose reading is paused.
         retry_after_ms: for clients whose requests are rejected; 0 to send none.
         stream_count: streamed values that are being sent.
-        is_closing: whether this process is drained or stops, and closes connections between requests.
+        closing_process: closes connections while this process is drained or stops.
     """
 
     dispatcher: Dispatcher
@@ -35,7 +45,6 @@
     reading_paused: dict[ConnectionT, None]
     retry_after_ms: float
     stream_count: int
-    is_closing: bool
 
     def request_started(self, connection: ConnectionT) -> None:
         """Record that the connection has an open request."""
@@ -64,8 +73,9 @@
     def rejects(self, request: Request) -> bool:
         """Return whether a new request is rejected because too many clients have open ones."""
 
-    def advance_closing(self, connection: ConnectionT) -> None:
-        """Close the connection as far as it is due, while the process is drained or stops."""
+    @property
+    def closing_process(self) -> ClosingProcess[ConnectionT]:
+        """Return what closes connections while this process is drained or stops."""
 
     def stream_buffer_bytes(self) -> int:
         """Return how many bytes of a streamed value may wait for a client that reads slowly."""
--- a/cloverwell/graceful_shutdown.py
+++ b/cloverwell/graceful_shutdown.py
@@ -53,7 +53,7 @@
         no further checks.
         """
         self._dispatcher.answer_all_by(self._serving.answer_by_ms())
-        self._side.check_closing()
+        self._side.closing_process.check()
         self._schedule_report()
         self._schedule_check()
 
@@ -77,7 +77,7 @@
         after_stall = self._timer_wheel.just_stalled
         if now >= self._serving.answer_by_ms() and not after_stall:
             self._dispatcher.fail_all_open()
-        self._side.check_closing()
+        self._side.closing_process.check()
         if self._serving.state is ServingState.STOPPING and not after_stall and self._is_over(now):
             self._end()
 
--- a/lab/loopback/nodes.py
+++ b/lab/loopback/nodes.py
@@ -51,7 +51,7 @@
 DISCOVERY_SLOW_S = 1.0
 
 
-def told_ms(info: str) -> float:
+def propagated_ms(info: str) -> float:
     """Return the time that an attempt's list of names and values tells its node."""
     values = dict(part.partition("=")[::2] for part in info.split(","))
     return float(values["d"])
@@ -155,7 +155,7 @@
         name = next(word[1:] for word in words if word.startswith("O"))
         info = next(word[1:] for word in words if word.startswith("P"))
         self.attempts += 1
-        self._checker.attempt(self.event_time.came_s(), name, self.name, told_ms(info))
+        self._checker.attempt(self.event_time.came_s(), name, self.name, propagated_ms(info))
         self.arrived(name)
         return words[1], name
 
@@ -202,7 +202,9 @@
             method, target, headers = await read_head(reader)
             await reader.readexactly(int(headers.get("content-length", 0)))
             name = headers["request-id"]
-            self._checker.attempt(self.event_time.came_s(), name, self.name, told_ms(headers["request-info"]))
+            self._checker.attempt(
+                self.event_time.came_s(), name, self.name, propagated_ms(headers["request-info"])
+            )
             if target.startswith("/hang") or self.mode is NodeMode.HANG:
                 await _until_closed(reader)
                 return
--- a/lab/soak/cli.py
+++ b/lab/soak/cli.py
@@ -59,8 +59,8 @@
     results = _play_all(plans, minutes, jobs, defect or "", logs, as_json, faults)
     verdicts = [result.verdict for result in results]
     if not as_json:
-        told = ", ".join(f"{verdicts.count(verdict)} {verdict.value}" for verdict in Verdict)
-        click.echo(f"{len(plans)} runs: {told}, {len(plans) - len(results)} not begun")
+        totals = ", ".join(f"{verdicts.count(verdict)} {verdict.value}" for verdict in Verdict)
+        click.echo(f"{len(plans)} runs: {totals}, {len(plans) - len(results)} not begun")
     if Verdict.BROKEN in verdicts:
         raise SystemExit(BROKEN)
     if Verdict.PASSED not in verdicts:
--- a/lab/soak/defects.py
+++ b/lab/soak/defects.py
@@ -25,6 +25,7 @@
     real = serving.shutdown_schedule
 
     def late(longest_deadline_ms: float, handed_over: bool) -> serving.DrainSchedule:
+        """Return the schedule with each last instant behind the kill."""
         schedule = real(longest_deadline_ms, handed_over)
         bounds = {
             name: getattr(schedule, name) + LATE_MS
--- a/lab/soak/oracle.py
+++ b/lab/soak/oracle.py
@@ -70,8 +70,11 @@
 
     def breach(self, rule: str, where: str, why: str, story: ConnectionStory | None = None) -> None:
         """Record a broken rule."""
-        told = story.tell(self.zero_s) if story is not None else ""
-        self.breaches.append(SoakBreach(rule, time.monotonic() - self.zero_s, where, why, told))
+        at_s = time.monotonic() - self.zero_s
+        self.breaches.append(SoakBreach(rule, at_s, where, why, self._text_of(story)))
+
+    def _text_of(self, story: ConnectionStory | None) -> str:
+        return "" if story is None else story.tell(self.zero_s)
 
     def killed(self, proxy: str) -> None:
         """Record that a process was killed: what it had taken is lost, and nobody is to blame for that."""
@@ -169,7 +172,7 @@
         """Return all breaches, those of the checker with the story of the request's connection."""
         for found in self.checker.breaches:
             story = self._stories.get(found["request"])
-            told = story.tell(self.zero_s) if story is not None else ""
             at_s = found["at_s"] - self.zero_s
-            self.breaches.append(SoakBreach(found["rule"], at_s, found["request"], found["why"], told))
+            text = self._text_of(story)
+            self.breaches.append(SoakBreach(found["rule"], at_s, found["request"], found["why"], text))
         return sorted(self.breaches, key=lambda breach: breach.at_s)
--- a/lab/soak/plan.py
+++ b/lab/soak/plan.py
@@ -89,7 +89,7 @@
 Series = Callable[[random.Random, float], list[Fault]]  # of one proxy, from 0 s on; the time to the kill
 
 
-def _drain_twice(draw: random.Random, _kill_s: float) -> list[Fault]:
+def _drain_undrain_drain(draw: random.Random, _kill_s: float) -> list[Fault]:
     undrain_s = draw.choice([0.5, 1.5, DRAIN_CHECK_S])
     again_s = undrain_s + draw.choice([0.1, 2.3])
     return [
@@ -118,7 +118,7 @@
     ]
 
 
-def _stop_twice(draw: random.Random, kill_s: float) -> list[Fault]:
+def _repeated_stop(draw: random.Random, kill_s: float) -> list[Fault]:
     return [
         Fault(0.0, FaultKind.TERMINATE),
         Fault(draw.uniform(0.05, 0.9), FaultKind.TERMINATE),
@@ -168,10 +168,10 @@
 
 
 SERIES: tuple[Series, ...] = (
-    _drain_twice,
+    _drain_undrain_drain,
     _drain_under_reload,
     _stop_in_a_drain,
-    _stop_twice,
+    _repeated_stop,
     _stop_behind_a_reload,
     _replace,
     _replace_in_a_drain,
--- a/lab/soak/result.py
+++ b/lab/soak/result.py
@@ -8,7 +8,7 @@
 
 from lab.soak.oracle import SoakBreach
 
-TOLD_BREACHES = 5  # of one run, in the text for people
+SHOWN_BREACHES = 5  # of one run, in the text for people
 
 
 class Verdict(Enum):
@@ -41,12 +41,12 @@
         head = f"seed {self.seed}: {self.verdict.value} in {self.took_s:.1f} s"
         late = f"; late by {1000.0 * self.late_s:.0f} ms at most" if self.late_s else ""
         lines = [f"{head}{late}{': ' + self.why if self.why else ''}{'; ' + counts if counts else ''}"]
-        for breach in self.breaches[:TOLD_BREACHES]:
+        for breach in self.breaches[:SHOWN_BREACHES]:
             lines.append(f"  {breach.at_s:.3f} {breach.rule} at {breach.where}: {breach.why}")
             if breach.story:
                 lines.append(f"    {breach.story}")
-        if len(self.breaches) > TOLD_BREACHES:
-            lines.append(f"  and {len(self.breaches) - TOLD_BREACHES} more")
+        if len(self.breaches) > SHOWN_BREACHES:
+            lines.append(f"  and {len(self.breaches) - SHOWN_BREACHES} more")
         if self.breaches:
             lines.append(f"  again: {command}")
         return "\n".join(lines)
--- a/tests/test_close_reasons.py
+++ b/tests/test_close_reasons.py
@@ -6,7 +6,7 @@
 
 from cloverwell.connections.closing import ClosingState
 from cloverwell.dispatcher import Dispatcher
-from cloverwell.front.client_connections import ClientConnections
+from cloverwell.front.connection_closing import ConnectionClosing
 from cloverwell.front.connection_report import MAX_CONNECTIONS, MAX_REQUEST_IDS, describe_held
 from cloverwell.graceful_shutdown import DRAIN_REPORT_MS
 from cloverwell.log import MAX_LINES_PER_SECOND
@@ -72,7 +72,7 @@
 
 
 def test_at_the_end_of_a_drain_what_is_held_is_named(rig, monkeypatch):
-    monkeypatch.setattr(ClientConnections, "advance_closing", lambda side, connection: None)
+    monkeypatch.setattr(ConnectionClosing, "advance", lambda closing, connection: None)
     monkeypatch.setattr(Dispatcher, "fail_all_open", lambda dispatcher: None)
     monkeypatch.setattr(Dispatcher, "answer_all_by", lambda dispatcher, when_ms: None)
     proxy = rig()
--- a/tests/test_states_against_ends.py
+++ b/tests/test_states_against_ends.py
@@ -121,7 +121,7 @@
     play.stop()
 
 
-def stop_twice(play):
+def repeated_stop(play):
     play.stop()
     play.go_on(300)
     play.stop()
@@ -148,7 +148,7 @@
     drain_undrain_drain,
     reload_in_a_drain,
     stop,
-    stop_twice,
+    repeated_stop,
     stop_behind_a_reload,
     stop_in_a_drain,
     replaced,
