Log what the event loop did when it stalled, and split reading off ClientConnection

Cause: a request that was answered late showed in the log as `refused: late` alone. Nothing told whose work the event loop had done meanwhile: commands of clients, answers of nodes, accepts, closes and timers could not be told apart.

Change: LoopWork counts them between two ticks of the timer wheel, and a tick that is more than 25 ms late is logged with them and with the client that had most commands handled after one another (line `stall`).

--- a/cloverwell/assembly.py
+++ b/cloverwell/assembly.py
@@ -30,6 +30,7 @@
 from cloverwell.front.client_connections import ClientConnections
 from cloverwell.handover.successor import Predecessor
 from cloverwell.log import Log
+from cloverwell.loop_work import stall_reporter
 from cloverwell.membership.endpoint_discovery import EndpointDiscovery
 from cloverwell.serving import Serving
 from cloverwell.timer_wheel import TimerWheel
@@ -118,6 +119,7 @@
     granularity_ms = max(MIN_GRANULARITY_MS, config.settings.granularity_ms)
     settings = replace(config.settings, granularity_ms=granularity_ms)
     timer_wheel = TimerWheel(reactor, settings.granularity_ms, now)
+    timer_wheel.report_stall = stall_reporter(log)
     metrics, counts, serving = ConnectionMetrics(), Counters(), Serving()
     budget = _make_budget(config, predecessor)
     node_policy = _make_node_policy(settings)
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -250,6 +250,7 @@
 
     def _attempt_ended(self, attempt: Attempt, outcome: AttemptOutcome, body: bytes | StreamedValue) -> None:
         request = attempt.request
+        self._timer_wheel.work.attempts_ended += 1
         self._counters.add(f"{attempt.pool.kind}.{outcome.value.value}")
         request.attempts.pop(attempt.decision.number, None)
         request.last_outcome = outcome
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -5,127 +5,45 @@
 import contextlib
 import socket
 from functools import partial
-from typing import Any
 
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from cloverwell.codec.lines import PEEK_FLAGS, closed_by_peer, discard_unread, read_now, received_ago_ms
+from cloverwell.codec.lines import discard_unread, read_now, received_ago_ms
 from cloverwell.codec.meta import CommandFields
-from cloverwell.codec.steady_socket import TryAgainError
 from cloverwell.codec.transport import close_both_sides
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.closing import ClosingState
-from cloverwell.front.command_receiver import CommandReceiver
+from cloverwell.front.client_reader import ClientReader
 from cloverwell.front.connection_owner import ConnectionOwner
 from cloverwell.front.meta_answers import BUSY, DRAINING, SERVING, encode_answer, encode_error
 from cloverwell.front.pending_response import PendingResponse
 from cloverwell.front.response_queue import ResponseQueue
 from cloverwell.request import FinalAnswer, Rejected, Request, Served
 from cloverwell.streamed_value import StreamedValue
-from cloverwell.timer_wheel import STALL_MS
 
 MAX_PIPELINED_COMMANDS = 64  # With this many responses pending, reading from the connection is paused.
 # Malformed commands in a row: beyond the first number each one pauses reading, the second number closes.
 UNTHROTTLED_MALFORMED_COMMANDS = 8
 MAX_MALFORMED_COMMANDS = 24
 MALFORMED_COMMAND_PAUSE_MS = 50.0  # how long reading is paused after such a command
-DISCARD_PAUSE_MS = 5.0  # between two reads of input that is discarded because the connection is ending
 FINAL_READ_BYTES = 8 * 1024  # the most input that is still read and handled just before a forced close
 STREAM_PIECE_BYTES = 32 * 1024  # the most bytes that Twisted's transport buffers for a client
 
 
-class ClientConnection(CommandReceiver):
+class ClientConnection(ClientReader):
     """Turns a client's commands into requests, and sends the responses in the order of the commands."""
 
     piece_bytes = STREAM_PIECE_BYTES
-    transport: Any  # Twisted's TCP transport; as a producer, its reading can be paused
 
     def __init__(self, owner: ConnectionOwner[ClientConnection], peer: str = "") -> None:
         """Set up the connection of a client that has just been accepted; `peer` is its address."""
-        super().__init__(owner.classes, owner.tenants)
-        self.peer = peer
+        super().__init__(owner, peer)
         self.close_reason: CloseReason | None = None  # why the proxy closes it; None until then
-        self._owner = owner
         self._responses = ResponseQueue(self, owner)
         self._malformed_count = 0  # malformed commands in a row
-        self._throttled = False  # whether reading is paused for a fixed time, see `_throttle`
-        self._nothing_read = True
-        self._partial_command_reported = False
         self._accepted_ms = self.write_closed_ms = owner.timer_wheel.now()  # The owner sets write_closed_ms.
 
-    # Reading ------------------------------------------------------------------------------------
-
-    def waited_in_accept_queue(self, since_ms: float) -> None:
-        """Record that the first bytes may have been unread since then, in the accept queue."""
-        self._arrival.record_accepted(since_ms)
-
-    def connectionMade(self) -> None:
-        """Start reading."""
-        super().connectionMade()
-        self._check_buffer_empty()
-
-    def dataReceived(self, data: bytes) -> None:
-        """Twisted: bytes have come from the client."""
-        if self.ended or self._broken:
-            # Input is read and dropped: a close over unread input would be a reset and might lose a response.
-            self._throttle(DISCARD_PAUSE_MS)
-            return
-        unread_delay_ms = self._owner.timer_wheel.unread_delay_ms
-        # After a wait in the accept queue or an event-loop stall, the client may have closed already.
-        client_may_have_closed = self._nothing_read or unread_delay_ms > STALL_MS
-        self._nothing_read = False
-        if client_may_have_closed and closed_by_peer([self._socket]):
-            self._owner.clients_disconnected([self])
-            return
-        if not self._held:  # While reading is paused, these bytes follow others that are not handled yet.
-            begins_command = not (len(self._incoming) or self._awaited_bytes)
-            self._arrival.record_read(self._owner.timer_wheel.now(), begins_command, unread_delay_ms)
-            self._check_buffer_empty()
-        super().dataReceived(data)
-        self._report_partial_command()
-
-    def _report_partial_command(self) -> None:
-        reported = self._partial_command_reported
-        self._partial_command_reported = self.has_partial_command
-        if reported:
-            self._owner.partial_command_grew(self)
-        elif self._partial_command_reported:
-            # A command's timeout runs from its first byte, so a client can't prolong it byte by byte.
-            self._owner.no_open_request(self)
-
-    def hold(self) -> None:
-        """Pause reading until `release`."""
-        super().hold()
-        self._owner.paused_connections[self] = None
-        self._arrival.record_reading_paused(self._owner.timer_wheel.now())
-
-    def release(self) -> None:
-        """Resume reading."""
-        self._owner.paused_connections.pop(self, None)
-        if self._held:
-            self._check_buffer_empty()
-        super().release()
-
-    def _check_buffer_empty(self) -> None:
-        if self._arrival.may_have_waited and not self.has_unread_bytes():
-            self._arrival.record_buffer_empty()
-
-    def _throttle(self, pause_ms: float) -> None:
-        """Pause reading for a fixed time."""
-        if not self._throttled:
-            self._throttled = True
-            self.transport.pauseProducing()
-            timer_wheel = self._owner.timer_wheel
-            timer_wheel.call_not_before(timer_wheel.now() + pause_ms, self._end_throttle)
-
-    def _end_throttle(self) -> None:
-        self._throttled = False
-        if self.ended or self._broken:
-            self.transport.resumeProducing()
-        else:
-            self.send_responses()
-
     # Commands -----------------------------------------------------------------------------------
 
     def probe_received(self) -> None:
@@ -383,15 +301,6 @@
             self.end(half_close=True)
             self.transport.resumeProducing()
 
-    def has_unread_bytes(self) -> bool:
-        """Return whether the socket's buffer has unread bytes, perhaps a request that a close would lose."""
-        try:
-            return bool(self._socket.recv(1, PEEK_FLAGS))
-        except TryAgainError:
-            return True  # The check failed for the moment, so there may be some.
-        except OSError:
-            return False
-
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Twisted: the connection has ended."""
         super().connectionLost(reason)
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -131,6 +131,7 @@
         self._budget.acquire(DescriptorSide.CLIENTS)
         self.connections[connection] = None
         self._metrics.add(ConnectionEvent.ACCEPTED)
+        self.timer_wheel.work.accepted += 1
         self.policy.record_opened(connection, self.timer_wheel.now(), host)
         self._reserve_descriptors()
         return connection
@@ -208,6 +209,7 @@
         if connection not in self.connections:
             return
         self.connections.pop(connection)
+        self.timer_wheel.work.closed += 1
         self._report_close(connection)
         self.paused_connections.pop(connection, None)
         self._unread_responses.progressed(connection)
--- a/cloverwell/front/command_receiver.py
+++ b/cloverwell/front/command_receiver.py
@@ -8,6 +8,7 @@
 from cloverwell.codec.meta import CommandError, CommandFields
 from cloverwell.connections.arrival import CommandArrival
 from cloverwell.front.meta_commands import LostFramingError, parse_get, parse_set, parse_value_length
+from cloverwell.loop_work import LoopWork
 
 
 class CommandReceiver(RingLineReceiver):
@@ -19,9 +20,13 @@
 
     max_incoming_bytes = MAX_WRITE_BYTES + 2 * MAX_LINE_BYTES
 
-    def __init__(self, classes: Mapping[str, int], tenants: Mapping[str, int]) -> None:
-        """Set up the parser; `classes` and `tenants` map the names of classes and tenants to numbers."""
+    def __init__(self, classes: Mapping[str, int], tenants: Mapping[str, int], work: LoopWork) -> None:
+        """Set up the parser, which counts its commands in `work`.
+
+        `classes` and `tenants` map the names of classes and tenants to their numbers.
+        """
         super().__init__()
+        self._work = work
         self._classes = classes
         self._tenants = tenants
         self._arrival = CommandArrival()
@@ -47,6 +52,7 @@
 
     def lineReceived(self, line: bytes) -> None:
         """Handle a command's line, which a value may follow."""
+        self._work.commands += 1
         if not line.isascii():
             self.reject_command("not ASCII")
             return
--- a/cloverwell/timer_wheel.py
+++ b/cloverwell/timer_wheel.py
@@ -11,6 +11,8 @@
 
 from twisted.logger import Logger
 
+from cloverwell.loop_work import LoopWork
+
 SLOTS = 1024
 
 # The event loop has stalled if a tick comes this late, or if one turn of the loop takes this long. A client's
@@ -68,6 +70,8 @@
             loop has read. It is never true of two ticks in a row.
         on_tick: called after the timers of each wake-up.
         on_stall: called after a stall, to check what has arrived at the sockets meanwhile.
+        work: what the event loop has done since the last tick; those who do it count it.
+        report_stall: called with the delay in ms and the work when a tick has come late.
 
     """
 
@@ -81,6 +85,8 @@
         self.just_stalled = False
         self.on_tick: Callable[[], None] = lambda: None
         self.on_stall: Callable[[], None] = lambda: None
+        self.work = LoopWork()
+        self.report_stall: Callable[[float, LoopWork], None] = lambda _delay_ms, _work: None
         self._reactor = reactor
         self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
         self._tick = math.floor(now() / self.granularity_ms)
@@ -133,6 +139,9 @@
         current_tick = math.floor(now / self.granularity_ms + ROUNDING_TICKS)
         self.last_tick_delay_ms = max(0.0, now - (self._tick + 1) * self.granularity_ms)
         self.just_stalled = self.last_tick_delay_ms > STALL_MS and not self.just_stalled
+        if self.last_tick_delay_ms > STALL_MS:
+            self.report_stall(self.last_tick_delay_ms, self.work)
+        self.work.reset()
         try:
             self.check_after_stall()  # before the timers: the reactor has not read the sockets yet
             self._advance(current_tick)
@@ -167,6 +176,7 @@
         for timer in slot:
             if timer.tick <= tick and timer.call is not None:
                 call, timer.call = timer.call, None
+                self.work.timers += 1
                 try:
                     call()
                 except Exception:  # One call that fails must not prevent the others of the tick.
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -22,6 +22,7 @@
     ("cloverwell.monotonic_reactor",),
     (
         "cloverwell.timer_wheel",
+        "cloverwell.loop_work",
         "cloverwell.log",
         "cloverwell.counters",
         "cloverwell.streamed_value",
