Bound the commands of one event-loop turn, and give clients their turns in order

Cause: RingLineReceiver._parse_messages handled all commands of a read of 64 KiB, and MAX_PIPELINED_COMMANDS bounds pending answers only, so a command that is answered at once (rejected, `mn`, malformed) was bounded by nothing, and the sum over connections by nothing either. A turn of the loop took 0.6 to 1.3 s, and a request needs three to five of them.

Change: a turn handles at most 64 commands of all clients together, 16 in a row of one. What is left waits for later turns (front/command_scheduler.py), in the order of connections/fair_queue.py, and its connection is not read meanwhile. Commands behind a full pipeline wait there too, in place of running inside the event of the node that answered. A connection is read by 8 KiB, so the special limit of drains goes. Commands that wait count as open requests.

Test, seen to fail before: tests/test_fair_turns.py, 15 failed, 3 passed ("assert 9000 <= 64", "assert (45001 - 27000) <= (3 * 64)"); 18 passed after, and two more tests for what must not break: order and completeness in a drain and a shutdown, and no idle close while commands wait.

--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -19,6 +19,7 @@
 from zope.interface import implementer
 
 from cloverwell.codec.errors import MalformedMessageError
+from cloverwell.codec.line_allowance import unlimited_allowance
 from cloverwell.codec.ring_buffer import RingBuffer
 from cloverwell.codec.steady_socket import install_steady_socket
 from cloverwell.codec.transport import StreamTransport
@@ -117,6 +118,7 @@
     MAX_LENGTH = MAX_LINE_BYTES
     max_incoming_bytes = max_outgoing_bytes = MAX_VALUE_BYTES + 2 * MAX_LINE_BYTES
     piece_bytes = PIECE_BYTES
+    allowance = unlimited_allowance()  # limits the lines that are passed on; a subclass may set its own
 
     def __init__(self) -> None:
         """Starts with two empty rings, before the first line."""
@@ -175,6 +177,8 @@
     def _parse_messages(self, data: bytes) -> bytes:
         """Passes on the complete messages in `data`, and returns the bytes after them."""
         position, end = 0, len(data)
+        allowance = self.allowance
+        lines_left = allowance.at_once
         self._parsing = True
         try:
             while position < end and not (self.ended or self._held or self._broken):
@@ -196,6 +200,11 @@
                         raise MalformedMessageError("line too long")
                     if line_end < 0:
                         return data[start:]
+                    if not lines_left or allowance.left <= 0:
+                        self.allowance_used_up(lines_left < allowance.at_once)
+                        return data[start:]
+                    lines_left -= 1
+                    allowance.left -= 1
                     position = line_end + 2
                     self.unparsed_bytes = end - position + self._unbuffered_bytes
                     self.lineReceived(data[start:line_end])
@@ -227,6 +236,13 @@
             self.transport.resumeProducing()
             self.parse()
 
+    def allowance_used_up(self, has_passed_on_lines: bool) -> None:
+        """Is called when a line has to wait, since the allowance is used up; it has to call `hold`.
+
+        `has_passed_on_lines`: whether lines before it were passed on just now.
+        """
+        raise NotImplementedError
+
     def lineReceived(self, line: bytes) -> None:
         """Is called with each line, without its line end."""
         raise NotImplementedError
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from cloverwell.codec.line_allowance import unlimited_allowance
 from cloverwell.codec.lines import discard_unread, read_now, received_ago_ms
 from cloverwell.codec.meta import CommandFields
 from cloverwell.codec.transport import close_both_sides
@@ -124,7 +125,8 @@
         pending = self._responses.pending
         self._responses.send()
         if not pending:
-            self._owner.no_open_request(self)
+            if not self._awaits_turn:
+                self._owner.no_open_request(self)
             if self._broken:
                 self._close_after_responses()
                 return
@@ -135,7 +137,7 @@
             self._owner.blocked_by_client(self)
         if len(pending) >= MAX_PIPELINED_COMMANDS:
             self.hold()
-        elif not self._broken and not self._throttled:
+        elif self._held and not self._broken and not self._throttled:
             self.release()
 
     def roomMade(self) -> None:
@@ -164,7 +166,7 @@
     @property
     def has_partial_command(self) -> bool:
         """Return whether no response is pending, and a part of a command has come."""
-        return not self._responses.pending and not self.is_between_requests
+        return not (self._responses.pending or self.is_between_requests or self._awaits_turn)
 
     @property
     def has_unsent_responses(self) -> bool:
@@ -231,7 +233,7 @@
         `allow_partial_command`: close also after a partial command, which is answered as busy. While reading
         is throttled the connection stays open, since complete requests may follow the malformed commands.
         """
-        if self.ended or self._responses.pending or self._writing or self._throttled:
+        if self.ended or self._responses.pending or self._writing or self._throttled or self._awaits_turn:
             return False
         if (not allow_partial_command and not self.is_between_requests) or self.has_unread_bytes():
             return False
@@ -263,17 +265,21 @@
 
     def _handle_unread(self) -> None:
         """Handle the commands that have been read, and up to `FINAL_READ_BYTES` that can be read at once."""
-        self._handle_waiting_commands()
-        if not self.ended and (data := read_now(self._socket, FINAL_READ_BYTES)):
-            self.dataReceived(data)
+        allowance, self.allowance = self.allowance, unlimited_allowance()
+        try:
             self._handle_waiting_commands()
+            if not self.ended and (data := read_now(self._socket, FINAL_READ_BYTES)):
+                self.dataReceived(data)
+                self._handle_waiting_commands()
+        finally:
+            self.allowance = allowance
 
     def _handle_waiting_commands(self) -> None:
-        """Handle the commands that have been read but wait for the end of a pause."""
+        """Handle the commands that have been read but wait for a turn or the end of a pause."""
         while (self._held or self._throttled) and not (self._broken or self.ended or self._responses.pending):
             waiting_bytes = len(self._incoming)
-            self._throttled = False
-            self.release()
+            self._throttled = self._awaits_turn = False
+            self._resume()
             if waiting_bytes and len(self._incoming) == waiting_bytes:
                 return
 
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -17,6 +17,7 @@
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.front.client_closer import ClientCloser
 from cloverwell.front.client_connection import ClientConnection
+from cloverwell.front.command_scheduler import CommandScheduler
 from cloverwell.front.connection_closing import ConnectionDrainer
 from cloverwell.front.connection_report import describe_open_connections
 from cloverwell.front.disconnect_detector import DisconnectDetector
@@ -93,6 +94,7 @@
         self.tenants = {tenant.name: number for number, tenant in enumerate(settings.tenants)}
         self.retry_after_ms = min(RETRY_AFTER_MS, settings.max_retry_after_ms)
         self.connections: dict[ClientConnection, None] = {}  # in the order in which they were accepted
+        self.command_scheduler = CommandScheduler(timer_wheel)
         self._detector = DisconnectDetector(self.connections, timer_wheel)
         self.paused_connections = self._detector.paused_connections
         self.policy: ClientConnectionPolicy[ClientConnection] = ClientConnectionPolicy(
@@ -212,6 +214,7 @@
         self.timer_wheel.work.closed += 1
         self._report_close(connection)
         self.paused_connections.pop(connection, None)
+        self.command_scheduler.forget(connection)
         self._unread_responses.progressed(connection)
         self._budget.release(DescriptorSide.CLIENTS)
         self.policy.record_closed(connection)
--- a/cloverwell/front/client_reader.py
+++ b/cloverwell/front/client_reader.py
@@ -6,7 +6,7 @@
 
 from cloverwell.codec.lines import PEEK_FLAGS, closed_by_peer
 from cloverwell.codec.steady_socket import TryAgainError
-from cloverwell.front.command_receiver import CommandReceiver
+from cloverwell.front.command_receiver import COMMAND_READ_BYTES, CommandReceiver
 from cloverwell.front.connection_owner import ConnectionOwner
 from cloverwell.timer_wheel import STALL_MS
 
@@ -26,6 +26,8 @@
         self._throttled = False  # whether reading is paused for a fixed time, see `_throttle`
         self._nothing_read = True
         self._partial_command_reported = False
+        self._awaits_turn = False  # whether commands wait until the scheduler calls `take_turn`
+        self.allowance = owner.command_scheduler.allowance
 
     @property
     def has_partial_command(self) -> bool:
@@ -43,6 +45,7 @@
     def connectionMade(self) -> None:
         """Start reading."""
         super().connectionMade()
+        self.transport.bufferSize = COMMAND_READ_BYTES
         self._check_buffer_empty()
 
     def dataReceived(self, data: bytes) -> None:
@@ -64,12 +67,13 @@
             self._check_buffer_empty()
         commands_before = self._work.commands
         super().dataReceived(data)
+        self._commands_handled(commands_before)
+
+    def _commands_handled(self, commands_before: int) -> None:
+        """Count the commands that were handled in a row, and report a partial command behind them."""
         commands = self._work.commands - commands_before
         if commands > self._work.busiest_commands:
             self._work.busiest_client, self._work.busiest_commands = self.peer, commands
-        self._report_partial_command()
-
-    def _report_partial_command(self) -> None:
         reported = self._partial_command_reported
         self._partial_command_reported = self.has_partial_command
         if reported:
@@ -85,12 +89,40 @@
         self._arrival.record_reading_paused(self._owner.timer_wheel.now())
 
     def release(self) -> None:
-        """Resume reading."""
+        """Resume reading, once the commands that wait have been handled in this connection's turns."""
+        if self._held and len(self._incoming) and not self.ended:
+            self._await_turn(is_new=False)
+        else:
+            self._resume()
+
+    def _resume(self) -> None:
+        """Handle the commands that wait, and resume reading."""
         self._owner.paused_connections.pop(self, None)
         if self._held:
             self._check_buffer_empty()
         super().release()
 
+    def allowance_used_up(self, has_passed_on_lines: bool) -> None:
+        """Have the commands that were read wait for this connection's turn."""
+        self.hold()
+        # A command that was read counts as open, so that its connection is not taken for an idle one.
+        self._owner.request_started(self)
+        self._await_turn(is_new=not has_passed_on_lines)
+
+    def _await_turn(self, is_new: bool) -> None:
+        if not self._awaits_turn:
+            self._awaits_turn = True
+            self._owner.command_scheduler.wait(self, is_new)
+
+    def take_turn(self) -> None:
+        """Handle some of the commands that wait; the scheduler calls this."""
+        self._awaits_turn = False
+        if self.ended or self._broken or self._throttled:
+            return
+        commands_before = self._work.commands
+        self._resume()
+        self._commands_handled(commands_before)
+
     def _check_buffer_empty(self) -> None:
         if self._arrival.may_have_waited and not self.has_unread_bytes():
             self._arrival.record_buffer_empty()
--- a/cloverwell/front/connection_closing.py
+++ b/cloverwell/front/connection_closing.py
@@ -13,10 +13,6 @@
 from cloverwell.serving import Serving
 from cloverwell.timer_wheel import TimerWheel
 
-READ_BYTES = 64 * 1024  # read from one connection in an iteration of the event loop; Twisted's default
-# The same while all requests are rejected: 8 KiB hold about 130 commands, which take 10 ms to reject.
-REJECTING_READ_BYTES = 8 * 1024
-
 
 class ConnectionDrainer:
     """Takes the closing step that is due for each connection.
@@ -41,7 +37,6 @@
         self._serving = serving
         self._dispatcher = dispatcher
         self._timer_wheel = timer_wheel
-        self._read_bytes = READ_BYTES
         self._logger = Logger(namespace="closing")
 
     def check(self) -> None:
@@ -51,7 +46,6 @@
         # After a stall, requests that are read next may have come before the rejecting began.
         if not self._timer_wheel.just_stalled:
             self.rejects_requests = self._serving.rejects_requests(now)
-        self._limit_reads()
         if not self.is_closing:
             return
         for connection in list(self._connections):
@@ -60,14 +54,6 @@
             except Exception:  # A connection that fails to close must not keep the others open.
                 self._logger.failure("failed to close a client connection")
 
-    def _limit_reads(self) -> None:
-        """Read less at once while requests are rejected, so that no flood of requests delays the shutdown."""
-        read_bytes = REJECTING_READ_BYTES if self.rejects_requests else READ_BYTES
-        if self.rejects_requests or read_bytes != self._read_bytes:
-            for connection in self._connections:
-                connection.transport.bufferSize = read_bytes
-        self._read_bytes = read_bytes
-
     def advance(self, connection: ClientConnection) -> None:
         """Take the closing step that is due for the connection now, if any."""
         now, after_stall = self._timer_wheel.now(), self._timer_wheel.just_stalled
--- a/cloverwell/front/connection_owner.py
+++ b/cloverwell/front/connection_owner.py
@@ -5,6 +5,7 @@
 from typing import Protocol, TypeVar
 
 from cloverwell.dispatcher import Dispatcher
+from cloverwell.front.command_scheduler import CommandScheduler
 from cloverwell.request import Request
 from cloverwell.serving import Serving
 from cloverwell.timer_wheel import TimerWheel
@@ -34,6 +35,7 @@
         paused_connections: the connections that are not read at the moment.
         retry_after_ms: the retry delay that is sent with a rejection; 0 sends none.
         stream_count: the number of streamed values that are being sent.
+        command_scheduler: gives the connections whose commands wait their turns.
         drainer: closes the connections while this process is drained or stops.
     """
 
@@ -45,6 +47,7 @@
     paused_connections: dict[ConnectionT, None]
     retry_after_ms: float
     stream_count: int
+    command_scheduler: CommandScheduler
 
     def request_started(self, connection: ConnectionT) -> None:
         """Record that the connection has an open request."""
--- a/cloverwell/timer_wheel.py
+++ b/cloverwell/timer_wheel.py
@@ -68,6 +68,7 @@
         just_stalled: whether the last tick came late. Data that arrived during the stall may not have been
             read yet, so a peer that seems silent is not given up before the next tick: by then the event
             loop has read. It is never true of two ticks in a row.
+        before_timers: called at each wake-up, before its timers.
         on_tick: called after the timers of each wake-up.
         on_stall: called after a stall, to check what has arrived at the sockets meanwhile.
         work: what the event loop has done since the last tick; those who do it count it.
@@ -83,6 +84,7 @@
         self.granularity_ms = max(1.0, granularity_ms)
         self.last_tick_delay_ms = 0.0
         self.just_stalled = False
+        self.before_timers: Callable[[], None] = lambda: None
         self.on_tick: Callable[[], None] = lambda: None
         self.on_stall: Callable[[], None] = lambda: None
         self.work = LoopWork()
@@ -128,6 +130,10 @@
         """
         return self._add(math.ceil(due_ms / self.granularity_ms), call)
 
+    def call_in_next_turn(self, call: Callable[[], None]) -> None:
+        """Make the call in the next turn of the event loop, after what this one has still to do."""
+        self._reactor.callLater(0.0, call)
+
     def _add(self, tick: int, call: Callable[[], None]) -> Timer:
         tick = max(self._tick + 1, tick)
         timer = Timer(tick, call)
@@ -143,6 +149,7 @@
             self.report_stall(self.last_tick_delay_ms, self.work)
         self.work.reset()
         try:
+            self.before_timers()
             self.check_after_stall()  # before the timers: the reactor has not read the sockets yet
             self._advance(current_tick)
             self.on_tick()
