Reject what waits behind a full pipeline while a process ends, in bounded turns

The forced close handled what was left in one turn as well, for all connections together.

Change: from the time at which new requests are rejected, up to 1,024 commands of a connection are read on and rejected behind those that hang, in the turns of the scheduler. Short answers that are known are joined for one write. A connection is read by 2 KiB instead of 64 KiB only while it sends more than its turn takes, so that usual writes are read as before.

Test, seen to fail before ("assert 3170 == (5 * 900)", "assert 2480 == (5 * 900)"): tests/test_fair_turns.py, commands behind a full pipeline. tests/rig.py can stop the proxy's clock for it.

--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -9,7 +9,6 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from cloverwell.codec.line_allowance import unlimited_allowance
 from cloverwell.codec.lines import discard_unread, read_now, received_ago_ms
 from cloverwell.codec.meta import CommandFields
 from cloverwell.codec.transport import close_both_sides
@@ -24,6 +23,9 @@
 from cloverwell.streamed_value import StreamedValue
 
 MAX_PIPELINED_COMMANDS = 64  # With this many responses pending, reading from the connection is paused.
+# The same while new requests are rejected: those behind a full pipeline are rejected in the order of their
+# commands meanwhile, since there is no time for hundreds of them once the requests before them are failed.
+MAX_REJECTED_COMMANDS = 1024
 # Malformed commands in a row: beyond the first number each one pauses reading, the second number closes.
 UNTHROTTLED_MALFORMED_COMMANDS = 8
 MAX_MALFORMED_COMMANDS = 24
@@ -75,7 +77,7 @@
         self._malformed_count = 0
         self._responses.pending.append(response)
         self._owner.request_started(self)
-        if len(self._responses.pending) >= MAX_PIPELINED_COMMANDS:
+        if len(self._responses.pending) >= MAX_PIPELINED_COMMANDS and self._is_pipeline_full():
             self.hold()
         if self._owner.should_reject(request):
             request.complete(Rejected(self._owner.retry_after_ms))
@@ -135,11 +137,15 @@
                 self._owner.drainer.advance(self)
         elif pending[0].data is not None:
             self._owner.blocked_by_client(self)
-        if len(pending) >= MAX_PIPELINED_COMMANDS:
+        if len(pending) >= MAX_PIPELINED_COMMANDS and self._is_pipeline_full():
             self.hold()
         elif self._held and not self._broken and not self._throttled:
             self.release()
 
+    def _is_pipeline_full(self) -> bool:
+        limit = MAX_REJECTED_COMMANDS if self._owner.drainer.rejects_requests else MAX_PIPELINED_COMMANDS
+        return len(self._responses.pending) >= limit
+
     def roomMade(self) -> None:
         """Send more responses, since the outgoing buffer has room again."""
         self._owner.client_has_read(self)
@@ -257,15 +263,17 @@
         """Close the sending side although input may be unread, for a client that sends without pause.
 
         Commands that have been read or can be read at once are answered first. One that comes later gets no
-        response; its client sees the connection end and resends it elsewhere.
+        response; its client sees the connection end and resends it elsewhere. The connection stays open for
+        now if the commands are too many for this tick.
         """
         self._handle_unread()
-        if not (self.ended or self._broken or self._responses.pending or self._writing):
+        closes = not (self.ended or self._broken or self._responses.pending or self._writing)
+        if closes and not self._awaits_turn:
             self._close_write_side(reason)
 
     def _handle_unread(self) -> None:
         """Handle the commands that have been read, and up to `FINAL_READ_BYTES` that can be read at once."""
-        allowance, self.allowance = self.allowance, unlimited_allowance()
+        allowance, self.allowance = self.allowance, self._owner.drainer.final_allowance
         try:
             self._handle_waiting_commands()
             if not self.ended and (data := read_now(self._socket, FINAL_READ_BYTES)):
--- a/cloverwell/front/client_reader.py
+++ b/cloverwell/front/client_reader.py
@@ -6,10 +6,13 @@
 
 from cloverwell.codec.lines import PEEK_FLAGS, closed_by_peer
 from cloverwell.codec.steady_socket import TryAgainError
-from cloverwell.front.command_receiver import COMMAND_READ_BYTES, CommandReceiver
+from cloverwell.front.command_receiver import CommandReceiver
 from cloverwell.front.connection_owner import ConnectionOwner
 from cloverwell.timer_wheel import STALL_MS
 
+# Read at once from a client that sends more commands than it has handled in a turn: the rest of them waits in
+# the kernel rather than here. It is room for about 35 commands.
+BACKLOG_READ_BYTES = 2 * 1024
 DISCARD_PAUSE_MS = 5.0  # between two reads of input that is discarded because the connection is ending
 
 
@@ -26,6 +29,7 @@
         self._throttled = False  # whether reading is paused for a fixed time, see `_throttle`
         self._nothing_read = True
         self._partial_command_reported = False
+        self._reads_little = False  # whether `BACKLOG_READ_BYTES` are read at once
         self._awaits_turn = False  # whether commands wait until the scheduler calls `take_turn`
         self.allowance = owner.command_scheduler.allowance
 
@@ -45,7 +49,6 @@
     def connectionMade(self) -> None:
         """Start reading."""
         super().connectionMade()
-        self.transport.bufferSize = COMMAND_READ_BYTES
         self._check_buffer_empty()
 
     def dataReceived(self, data: bytes) -> None:
@@ -67,6 +70,9 @@
             self._check_buffer_empty()
         commands_before = self._work.commands
         super().dataReceived(data)
+        if self._reads_little and not self._awaits_turn:
+            self._reads_little = False
+            del self.transport.bufferSize  # The default of the class applies again.
         self._commands_handled(commands_before)
 
     def _commands_handled(self, commands_before: int) -> None:
@@ -105,6 +111,8 @@
     def allowance_used_up(self, has_passed_on_lines: bool) -> None:
         """Have the commands that were read wait for this connection's turn."""
         self.hold()
+        self._reads_little = True
+        self.transport.bufferSize = BACKLOG_READ_BYTES
         # A command that was read counts as open, so that its connection is not taken for an idle one.
         self._owner.request_started(self)
         self._await_turn(is_new=not has_passed_on_lines)
--- a/cloverwell/front/command_receiver.py
+++ b/cloverwell/front/command_receiver.py
@@ -10,9 +10,6 @@
 from cloverwell.front.meta_commands import LostFramingError, parse_get, parse_set, parse_value_length
 from cloverwell.loop_work import LoopWork
 
-COMMAND_READ_BYTES = 8 * 1024  # the most that is read at once; it holds about 130 commands
-VALUE_READ_BYTES = 64 * 1024  # the same while a longer value arrives
-
 
 class CommandReceiver(RingLineReceiver):
     """Calls `request_received` for each complete request, and `probe_received` for each `mn`.
@@ -95,8 +92,6 @@
             self._bytes_to_discard = value_bytes
             self._discard_value()
             return
-        if value_bytes > COMMAND_READ_BYTES:
-            self.transport.bufferSize = VALUE_READ_BYTES
         self.expect_value(value_bytes)
 
     def _discard_value(self) -> None:
@@ -111,8 +106,6 @@
             return
         fields, self._pending_write = self._pending_write, None
         assert fields is not None
-        if len(data) > COMMAND_READ_BYTES:
-            self.transport.bufferSize = COMMAND_READ_BYTES
         if not data.endswith(b"\r\n"):
             self.reject_and_close("bad data chunk")
             return
--- a/cloverwell/front/connection_owner.py
+++ b/cloverwell/front/connection_owner.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol, TypeVar
 
+from cloverwell.codec.line_allowance import LineAllowance
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.front.command_scheduler import CommandScheduler
 from cloverwell.request import Request
@@ -18,6 +19,8 @@
     """Closes the clients' connections while the process is drained or stops."""
 
     is_closing: bool  # whether connections are now closed between requests
+    rejects_requests: bool  # whether new requests are rejected
+    final_allowance: LineAllowance  # limits the commands handled just before forced closes
 
     def advance(self, connection: DrainedT) -> None:
         """Take the closing step that is due for the connection now, if any."""
--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from itertools import islice
 from typing import Any, Protocol
 
 from cloverwell.connections.close_reason import CloseReason
@@ -13,6 +14,10 @@
 from cloverwell.request import Request
 from cloverwell.streamed_value import StreamedValue, StreamStage
 
+# The limits of the responses that are joined for one write.
+MAX_JOINED_RESPONSES = 64
+MAX_JOINED_BYTES = 16 * 1024
+
 
 class SendingConnection(Protocol):
     """The interface of the connection on which the queue sends."""
@@ -77,6 +82,8 @@
                 # The value broke off before any of it was sent, so an error can still be sent instead.
                 data = response.data = FAILED
                 response.stream = None
+            if response.stream is None and len(pending) > 1 and self._send_several():
+                continue
             if not self._connection.try_write(data):
                 return
             if response.stream is None:
@@ -85,6 +92,23 @@
                 response.data = None
                 self._start_stream(response.stream)
 
+    def _send_several(self) -> bool:
+        """Send the short responses that are known with one write; return False if it sent none of them."""
+        known: list[bytes] = []
+        size_bytes = 0
+        for response in islice(self.pending, MAX_JOINED_RESPONSES):
+            if response.data is None or response.stream is not None:
+                break
+            size_bytes += len(response.data)
+            if size_bytes > MAX_JOINED_BYTES:
+                break
+            known.append(response.data)
+        if len(known) < 2 or not self._connection.try_write(b"".join(known)):
+            return False
+        for _ in known:
+            self.pending.popleft()
+        return True
+
     def resume_stream(self) -> None:
         """Resume the source of a streamed value, if the client has read enough."""
         if self._stream is not None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -116,6 +116,7 @@
 
     def __init__(self, nodes=1, settings=SETTINGS, sockets=256, backlog=64):
         self.clock_offset_ms = 0.0
+        self.stopped_at_ms = None  # the machine's clock when the proxy's clock was stopped
         self.client_sockets = []
         self.reactor = Reactor()
         self.origin, self.discovery = Node(self), Node(self)
@@ -131,7 +132,11 @@
         self.address = ("127.0.0.1", self.service._port.getHost().port)
 
     def now(self):
-        return monotonic_ms() + self.clock_offset_ms
+        return (monotonic_ms() if self.stopped_at_ms is None else self.stopped_at_ms) + self.clock_offset_ms
+
+    def stop_clock(self):
+        """Lets the proxy's clock stand still but for `advance_clock`, however long the test takes."""
+        self.stopped_at_ms = monotonic_ms()
 
     def advance_clock(self, ms):
         """Moves the proxy's clock forward and runs all timers that come due."""
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -175,3 +175,32 @@
     assert not connection.ended
     scheduler._give_turns()
     assert proxy.receive_until(conn, b"MN", 3).count(b"MN") == 3
+
+
+@pytest.mark.parametrize("end", ["drained", "stopped"])
+def test_commands_behind_a_full_pipeline_are_answered_in_turns_before_a_process_ends(rig, commands, end):
+    # The first commands of each client hang at a node until all requests are failed, shortly before the end.
+    # Those behind them have to be read and rejected before, since there is no time for hundreds after that.
+    proxy = rig(sockets=1024)
+    proxy.stop_clock()
+    proxy.nodes[0].fill_accept_queue()
+    clients = 5
+    connections = []
+    for client in range(clients):
+        numbers = range(client * FLOOD_COMMANDS, (client + 1) * FLOOD_COMMANDS)
+        connections.append(proxy.client(b"".join(read(number, wait_ms=60_000) for number in numbers)))
+    proxy.run_iterations(30)
+    if end == "drained":
+        assert proxy.service.drain()
+    else:
+        proxy.service.stop()
+    times = proxy.service.serving.drain_times
+    proxy.advance_clock(times.reject_ms - proxy.now() + 10.0)
+    # Half of a turn's commands are kept for clients that have sent nothing before.
+    turns = 3 * clients * FLOOD_COMMANDS // MAX_COMMANDS_PER_TURN
+    counts = commands.by_turn(lambda: proxy.run_iterations(1), turns)
+    assert commands.total == clients * FLOOD_COMMANDS
+    assert max(counts) <= MAX_COMMANDS_PER_TURN
+    proxy.advance_clock(times.answer_deadline_ms - proxy.now() + 10.0)
+    for conn in connections:
+        proxy.receive_until(conn, b"\r\n", FLOOD_COMMANDS)
