--- a/tests/rig.py
+++ b/tests/rig.py
@@ -12,13 +12,12 @@
 import struct
 import time
 
-from twisted.internet.epollreactor import EPollReactor
-
 from balancer.settings import read_settings
 from cloverwell.config import Config, Limits
 from cloverwell.front.port import listen
 from cloverwell.log import Log
 from cloverwell.membership.endpoint_list import Endpoint, EndpointList
+from cloverwell.monotonic_reactor import MonotonicReactor
 from cloverwell.proxy import Proxy
 from cloverwell.timer_wheel import monotonic_ms
 from lab.proxy_testbed import SETTINGS
@@ -27,7 +26,7 @@
 RESET_LINGER = struct.pack("ii", 1, 0)  # the SO_LINGER value with which a close sends a reset
 
 
-class Reactor(EPollReactor):
+class Reactor(MonotonicReactor):
     """A reactor that closes all open connections when it is stopped, as the end of the program does."""
 
     stopped = closed = False
