Answer all open requests before giving up any attempt at the end of a process

Cause: Dispatcher.fail_all_open failed the open requests one by one.

Change: all requests are answered and reported first, then their attempts are given up, as it is done for clients that leave.

Test, seen to fail before ("Left contains 34 more items"): tests/ test_fair_turns.py, no attempt begins while all open requests are failed.

--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -87,11 +87,20 @@
         self._answer_all_by_ms = when_ms
 
     def fail_all_open(self) -> None:
-        """Fails all open requests, because their connections are being closed now."""
-        for request in list(self._open.values()):
-            if not request.is_over:
-                self._record_failure(request, "ending")
-                self._fail(request)
+        """Fails all open requests, because their connections are being closed now.
+
+        All of them are answered before any attempt is given up. Otherwise the close of a connection that
+        attempts share would have the others on it retried.
+        """
+        failed = [request for request in self._open.values() if not request.is_over]
+        for request in failed:
+            self._record_failure(request, "ending")
+            self._answer_as_failed(request)
+        for request in failed:
+            self._time_out_attempts(request)
+            self._forget_if_done(request)
+        if failed:
+            self.carry_out_due_decisions()
 
     def client_disconnected(self, requests: list[Request]) -> None:
         """Ends the requests of a client that has disconnected, without an answer.
@@ -317,20 +326,22 @@
         An attempt may have its timeout in this very tick. It is timed out first, so that the balancer decides
         about the request: the balancer knows whether the client may safely retry it.
         """
-        for attempt in list(request.attempts.values()):
-            attempt.pool.give_up(attempt, AttemptOutcome.TIMED_OUT)
+        self._time_out_attempts(request)
         if not request.is_over:
             self._log.warn("overdue", f"request {request.id} was failed at its deadline")
-            self._fail(request)
+            self._answer_as_failed(request)
+            self._time_out_attempts(request)
+            self._forget_if_done(request)
+            self.carry_out_due_decisions()
 
-    def _fail(self, request: Request) -> None:
-        """Fails an open request without asking the balancer."""
+    def _answer_as_failed(self, request: Request) -> None:
+        """Fails an open request without asking the balancer; its attempts are still to be given up."""
         if request.complete(Failed()):
             self._facade.report(request, balancer_facade.ClientDisconnected())
-            for attempt in list(request.attempts.values()):
-                attempt.pool.give_up(attempt, AttemptOutcome.TIMED_OUT)
-            self._forget_if_done(request)
-            self.carry_out_due_decisions()
+
+    def _time_out_attempts(self, request: Request) -> None:
+        for attempt in list(request.attempts.values()):
+            attempt.pool.give_up(attempt, AttemptOutcome.TIMED_OUT)
 
     def _forget_if_done(self, request: Request) -> None:
         if not request.is_over or request.attempts:
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -10,6 +10,7 @@
 import pytest
 from rig import read, write
 
+from cloverwell.back.pool import Pool
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.front.client_connection import ClientConnection
 from lab.proxy_testbed import SETTINGS
@@ -241,3 +242,26 @@
     assert len(ended) > 2 * MAX_EVENTS_PER_TURN  # There was more than one turn may handle.
     assert max(counts) <= MAX_EVENTS_PER_TURN
     assert any(received(client) for client in clients)
+
+
+def test_no_attempt_begins_while_all_open_requests_are_failed_at_the_end(rig, monkeypatch):
+    # Reads share connections. Giving one up resets the others on its connection, and each of them was retried
+    # although its own request was failed a moment later: twice the work in the last instants of a process.
+    settings = SETTINGS | {"limits": SETTINGS["limits"] | {"streams-per-conn": 32}}
+    proxy = rig(nodes=2, settings=settings, sockets=64)
+    proxy.stop_clock()
+    connections = [proxy.client(b"".join(read(100 * n + i, 60_000) for i in range(20))) for n in range(4)]
+    proxy.run_iterations(30)
+    for node in proxy.nodes:
+        while node.accept_nowait():
+            pass
+    open_count = proxy.service.dispatcher.open_count
+    assert open_count > len(proxy.nodes[0].accepted) + len(proxy.nodes[1].accepted)  # Some share one.
+    started = []
+    start = Pool.start
+    monkeypatch.setattr(Pool, "start", lambda pool, attempt: (started.append(attempt), start(pool, attempt)))
+    proxy.service.dispatcher.fail_all_open()
+    assert proxy.service.dispatcher.open_count == 0
+    assert started == []
+    for conn in connections:
+        proxy.receive_until(conn, b"\r\n", 20)
