Cancel the attempts of clients that leave together in bounded turns

Change: the requests are ended at once, as before; their attempts are cancelled 64 requests a turn. Until then no attempt of an ended request is written to a connection that becomes free (Pool.is_too_late), so none begins for a client that left.

The stand-in request of lab/attempts.py has `is_over`, which Pool now reads.

--- a/cloverwell/back/pool.py
+++ b/cloverwell/back/pool.py
@@ -61,7 +61,7 @@
         """
         self._context.timer_wheel.check_after_stall()
         now = self.now()
-        if attempt.is_over or self.address is None:
+        if attempt.is_over or attempt.request.is_over or self.address is None:
             return True
         return now > attempt.write_by_ms or self._policy.is_past_grace(self.node, now)
 
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Callable
 
 from cloverwell import facade as balancer_facade
@@ -25,6 +26,7 @@
 # rounded down to a tick, could fall into the same tick and fail a request that the balancer is about to
 # reject.
 DEADLINE_MARGIN_MS = 1.0
+MAX_CANCELLED_PER_TURN = 64  # requests of disconnected clients whose attempts one turn of the loop cancels
 CLIENT_ROUND_TRIP_MS = 1.0  # the time that a request and its answer travel between client and proxy
 
 
@@ -44,6 +46,7 @@
         self._log = log
         self._counters = counts
         self._open: dict[str, Request] = {}  # by request id
+        self._to_cancel: deque[Request] = deque()  # requests whose clients have disconnected
         self._is_carrying_out = False
         self._answer_all_by_ms = math.inf
         # `assembly` connects these two to discovery: the first has it watch the endpoint list, the second
@@ -106,17 +109,28 @@
         """Ends the requests of a client that has disconnected, without an answer.
 
         All of them are ended before any attempt is given up. Otherwise the connection that an attempt frees
-        could go to another request of the same client.
+        could go to another request of the same client. Where many clients leave together, their attempts are
+        given up in several turns of the event loop; no attempt of an ended request is written meanwhile.
         """
         ended = [request for request in requests if not request.is_over]
         for request in ended:
             request.mark_over()
             self._facade.report(request, balancer_facade.ClientDisconnected())
-        for request in ended:
+        if ended:
+            is_scheduled = bool(self._to_cancel)
+            self._to_cancel.extend(ended)
+            if not is_scheduled:
+                self._cancel_some()
+
+    def _cancel_some(self) -> None:
+        """Cancels the attempts of some of the requests whose clients have disconnected; others come later."""
+        for _ in range(min(MAX_CANCELLED_PER_TURN, len(self._to_cancel))):
+            request = self._to_cancel.popleft()
             self._cancel_attempts(request)
             self._forget_if_done(request)
-        if ended:
-            self.carry_out_due_decisions()
+        if self._to_cancel:
+            self._timer_wheel.call_in_next_turn(self._cancel_some)
+        self.carry_out_due_decisions()
 
     def _cancel_attempts(self, request: Request) -> None:
         """Cancels the attempts of a request whose client has disconnected.
--- a/lab/attempts.py
+++ b/lab/attempts.py
@@ -99,6 +99,7 @@
         self._count += 1
         name, now = f"r{self._count}", self.now()
         request = SimpleNamespace(
+            is_over=False,
             id=name,
             key="k",
             is_write=False,
