--- a/tests/test_bounded_turns.py
+++ b/tests/test_bounded_turns.py
@@ -9,6 +9,7 @@
 
 from cloverwell.back.pool import Pool
 from cloverwell.dispatcher import Dispatcher
+from cloverwell.front.disconnect_detector import BURST_INTERVAL_MS
 from lab.proxy_testbed import SETTINGS
 
 MAX_EVENTS_PER_TURN = 64  # descriptors that are read, written, accepted at or found closed
@@ -84,6 +85,20 @@
     proxy_with_hundreds_of_attempts, ended
 ):
     proxy, clients, _ = proxy_with_hundreds_of_attempts
+    proxy.clock_offset_ms += 2 * BURST_INTERVAL_MS  # The first close starts a check that finds the others.
+    assert_all_are_cancelled_in_bounded_turns(proxy, clients, ended)
+
+
+def test_the_attempts_of_clients_found_to_leave_one_by_one_are_cancelled_in_bounded_turns(
+    proxy_with_hundreds_of_attempts, ended
+):
+    proxy, clients, _ = proxy_with_hundreds_of_attempts
+    proxy.clock_offset_ms += 2 * BURST_INTERVAL_MS
+    proxy.service.client_connections.clients_disconnected([])  # Within 5 ms of this check there is no other.
+    assert_all_are_cancelled_in_bounded_turns(proxy, clients, ended)
+
+
+def assert_all_are_cancelled_in_bounded_turns(proxy, clients, ended):
     for client in clients:
         reset(client)
     counts = ended_by_turn(proxy, ended)
