Log who holds the bytes that a client has not taken, and when it took the last

Nothing told how much of the value was still here or in the kernel, nor whether the client went on reading.

Change: the socket counts the bytes that the kernel takes, and RingLineReceiver.delivery() tells the bytes by holder (this process, the kernel, acknowledged). The line `close` ends with them, and with the id that was answered last, if something is undelivered. The line `unread` tells the same every second for clients whose kernel buffer is full, with the time since the client acknowledged anything (DeliveryMonitor, ResponseDelivery). Nothing is decided by it yet.

--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -18,6 +18,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from cloverwell.codec.delivery import Delivery
 from cloverwell.codec.errors import MalformedMessageError
 from cloverwell.codec.line_allowance import unlimited_allowance
 from cloverwell.codec.ring_buffer import RingBuffer
@@ -96,7 +97,7 @@
     """Returns the number of sent bytes that the peer has not acknowledged; 0 if the kernel can't tell."""
     try:
         answer = fcntl.ioctl(handle, termios.TIOCOUTQ, struct.pack("i", 0))
-    except (OSError, ValueError):
+    except (OSError, ValueError, TypeError):  # A transport in memory has no descriptor.
         return 0
     (unacknowledged,) = struct.unpack("i", answer)
     return int(unacknowledged)
@@ -130,6 +131,8 @@
         self.unparsed_bytes = 0  # the number of bytes after the message that is being handled
         self._held = False  # whether `hold` has paused the reading
         self._writing = False  # whether the transport has bytes that it has not sent yet
+        self._transport_bytes = 0  # the number of bytes that were handed to the transport last
+        self._written_bytes = 0  # the number of bytes that `try_write` has accepted since the beginning
         self._parsing = False  # whether `_parse_messages` is running; it is not reentrant
         self._broken = False  # whether the received bytes were malformed: further data is discarded
         self.ended = False  # whether the connection was lost, or this side has begun to close it
@@ -266,12 +269,16 @@
 
         Returns False, and sends nothing, if the buffer is too full or the connection has ended.
         """
-        if self.ended or len(data) > self._outgoing.room:
+        size_bytes = len(data)
+        if self.ended or size_bytes > self._outgoing.room:
             return False
         unsent = self._send_now(data)
+        if unsent is None:
+            return False
+        self._written_bytes += size_bytes
         if unsent:
             self._append_outgoing(unsent)
-        return unsent is not None
+        return True
 
     def try_write_command(self, data: bytes) -> bytes | None:
         """Sends or buffers a command, except its last byte if the socket does not take all of it at once.
@@ -304,11 +311,33 @@
         self._outgoing.write(data)
         if not self._writing:
             self._write_next_piece()
+            self.outgoing_blocked()
+
+    def outgoing_blocked(self) -> None:
+        """Is called when the kernel has not taken all that was written: the rest is buffered from now on."""
 
     def _write_next_piece(self) -> None:
         self._writing = bool(len(self._outgoing))
         if self._writing:
-            self.transport.write(self._outgoing.read(self.piece_bytes))
+            piece = self._outgoing.read(self.piece_bytes)
+            self._transport_bytes = len(piece)
+            self.transport.write(piece)
+
+    def delivery(self) -> Delivery:
+        """Returns what has become of the bytes that `try_write` has accepted.
+
+        A close of the sending side counts as one more byte for the kernel, which is left out here.
+        """
+        sent_bytes = getattr(self._socket, "sent_bytes", None)
+        if sent_bytes is None:  # A transport in memory does not count its bytes.
+            unsent_bytes = len(self._outgoing) + (self._transport_bytes if self._writing else 0)
+            sent_bytes = self._written_bytes - unsent_bytes
+        in_kernel_bytes = min(sent_bytes, max(0, unacknowledged_bytes(self._socket) - self.ended))
+        return Delivery(
+            acknowledged_bytes=sent_bytes - in_kernel_bytes,
+            in_kernel_bytes=in_kernel_bytes,
+            in_process_bytes=max(0, self._written_bytes - sent_bytes),
+        )
 
     def resumeProducing(self) -> None:
         """Is called when the transport has sent all that it had: gives it the next bytes."""
--- a/cloverwell/codec/steady_socket.py
+++ b/cloverwell/codec/steady_socket.py
@@ -28,13 +28,19 @@
 
 
 class SteadySocket:
-    """A socket whose `recv` and `send` raise `TryAgainError` where the same call may succeed later."""
+    """A socket whose `recv` and `send` raise `TryAgainError` where the same call may succeed later.
 
-    __slots__ = ("_socket",)
+    Attributes:
+        sent_bytes: how many bytes the kernel has taken, however they were written.
+
+    """
+
+    __slots__ = ("_socket", "sent_bytes")
 
     def __init__(self, connected: ConnectedSocket) -> None:
         """Wraps a connected socket."""
         self._socket = connected
+        self.sent_bytes = 0
 
     def recv(self, size: int, flags: int = 0) -> bytes:
         """Receives at most `size` bytes. Raises `TryAgainError` if the same call may succeed later."""
@@ -49,9 +55,11 @@
         Raises `TryAgainError` if the same call may succeed later.
         """
         try:
-            return self._socket.send(data, flags)
+            sent_count = self._socket.send(data, flags)
         except OSError as error:
             raise _translated(error) from None
+        self.sent_bytes += sent_count
+        return sent_count
 
     def __getattr__(self, name: str) -> object:
         """Returns any other attribute of the wrapped socket."""
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -43,6 +43,8 @@
         """Set up the connection of a client that has just been accepted; `peer` is its address."""
         super().__init__(owner, peer)
         self.close_reason: CloseReason | None = None  # why the proxy closes it; None until then
+        self.undelivered_at_close = ""  # who held undelivered bytes when the proxy decided to close it
+        self._last_answered_id = ""  # the id of the request that was answered last
         self._responses = ResponseQueue(self, owner)
         self._malformed_count = 0  # malformed commands in a row
         self._accepted_ms = self.write_closed_ms = owner.timer_wheel.now()  # The owner sets write_closed_ms.
@@ -105,6 +107,7 @@
 
     def _respond(self, response: PendingResponse, request: Request, answer: FinalAnswer) -> None:
         """Store a request's final answer as its response, and send what can be sent."""
+        self._last_answered_id = request.id
         response.request = None  # breaks a reference cycle, which would wait for the garbage collector
         response.data = encode_answer(request, answer)
         if isinstance(answer, Served) and isinstance(answer.body, StreamedValue):
@@ -152,6 +155,19 @@
         self._responses.resume_stream()
         self.send_responses()
 
+    def outgoing_blocked(self) -> None:
+        """Have the owner observe what the client takes, since the kernel does not take all at once."""
+        self._owner.responses_blocked(self)
+
+    def describe_delivery(self) -> str:
+        """Return who holds the bytes that the client has not acknowledged, for the log."""
+        found = self.delivery()
+        last_answer = f"last answer to {self._last_answered_id or 'no request'}"
+        return (
+            f"unread: {found.in_process_bytes} bytes buffered here, {found.in_kernel_bytes} in the kernel, "
+            f"{found.acknowledged_bytes} acknowledged, {last_answer}"
+        )
+
     @property
     def unsent_bytes(self) -> int:
         """Return the number of bytes in the outgoing buffer."""
@@ -212,6 +228,8 @@
         """Record why the proxy closes the connection; only the first reason is kept."""
         if self.close_reason is None:
             self.close_reason = reason
+            if self.delivery().undelivered_bytes:
+                self.undelivered_at_close = self.describe_delivery()
 
     @property
     def open_request_ids(self) -> list[str]:
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -14,12 +14,14 @@
 from cloverwell.connections.client_policy import MAX_ACCEPTS_PER_ITERATION, ClientConnectionPolicy
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.metrics import ConnectionEvent, ConnectionMetrics
+from cloverwell.connections.response_delivery import ResponseDelivery
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.front.client_closer import ClientCloser
 from cloverwell.front.client_connection import ClientConnection
 from cloverwell.front.command_scheduler import CommandScheduler
 from cloverwell.front.connection_closing import ConnectionDrainer
 from cloverwell.front.connection_report import describe_open_connections
+from cloverwell.front.delivery_monitor import DeliveryMonitor
 from cloverwell.front.disconnect_detector import DisconnectDetector
 from cloverwell.front.port import BoundedFactory
 from cloverwell.front.unread_responses import UnreadResponses
@@ -106,6 +108,7 @@
         self._metrics = metrics
         self._accepting_paused = False  # for want of descriptors
         self._unread_responses: UnreadResponses[ClientConnection] = UnreadResponses()
+        self._delivery_monitor = DeliveryMonitor(ResponseDelivery(), log)
         self.drainer = ConnectionDrainer(self.connections, serving, dispatcher, timer_wheel)
         self._queue = AcceptQueue(BACKLOG + 1)  # Linux lets one more connection wait than the backlog.
         self.request_descriptor: Callable[[], object] = lambda: None  # asks the nodes' side to free one
@@ -191,6 +194,10 @@
         """Record that more bytes of a partial command have come."""
         self.policy.record_partial_command_bytes(connection, self.timer_wheel.now())
 
+    def responses_blocked(self, connection: ClientConnection) -> None:
+        """Record that the kernel has not taken all bytes of the responses."""
+        self._delivery_monitor.observe(connection, self.timer_wheel.now())
+
     def blocked_by_client(self, connection: ClientConnection) -> None:
         """Record that a response can't be sent, since the outgoing buffer is full."""
         self._unread_responses.blocked(
@@ -216,6 +223,7 @@
         self.paused_connections.pop(connection, None)
         self.command_scheduler.forget(connection)
         self._unread_responses.progressed(connection)
+        self._delivery_monitor.delivery.forget(connection)
         self._budget.release(DescriptorSide.CLIENTS)
         self.policy.record_closed(connection)
         self._resume_accepting()
@@ -223,7 +231,10 @@
     def _report_close(self, connection: ClientConnection) -> None:
         reason = connection.close_reason or CloseReason.BY_CLIENT
         self._metrics.add(ConnectionEvent.CLIENT_CONNECTION_CLOSED, reason.value)
-        self._log.info("close", f"{connection.peer}: {reason.value}, open for {connection.age_ms:.0f} ms")
+        text = f"{connection.peer}: {reason.value}, open for {connection.age_ms:.0f} ms"
+        if connection.undelivered_at_close:
+            text += f", {connection.undelivered_at_close}"
+        self._log.info("close", text)
 
     def should_reject(self, request: Request) -> bool:
         """Return whether a new request is rejected, in a drain or because too many connections have one.
@@ -282,6 +293,7 @@
             self.timer_wheel.call_by(now, self._check_policy)
             return
         self.timer_wheel.call_by(now + POLICY_CHECK_INTERVAL_MS, self._check_policy)
+        self._delivery_monitor.check(now)
         expired = self.policy.choose_expired(now)
         self._closer.close(expired, len(expired))
         for connection in self._unread_responses.due_for_check(now):
--- a/cloverwell/front/connection_owner.py
+++ b/cloverwell/front/connection_owner.py
@@ -61,6 +61,9 @@
     def partial_command_grew(self, connection: ConnectionT) -> None:
         """Record that more bytes of a partial command have come."""
 
+    def responses_blocked(self, connection: ConnectionT) -> None:
+        """Record that the kernel has not taken all bytes of the responses."""
+
     def blocked_by_client(self, connection: ConnectionT) -> None:
         """Record that a response can't be sent, since the outgoing buffer is full."""
 
