Count a client as idle only once its kernel has acknowledged its responses

Cause: three places guessed a client's progress, each by another figure. The idle timeout counted from the moment when the last response left the queue, whatever the ring and the kernel still held, and a ring that was not empty then even meant a reset. A full ring was watched by the number of bytes in our kernel, which does not fall while it is refilled as fast as the client reads.

Change: one definition, connections/response_delivery.py (pure): a client makes progress when its kernel acknowledges bytes. The policy has a stage RECEIVING for a client without an open request that has undelivered bytes; it is idle from when nothing is undelivered. Whoever acknowledges nothing for 10 s of what there is to take is closed as `not_reading`, with or without open requests.

test_bounded_waits: the interval between two checks, 1 s, is gone from the bound of a client that reads nothing, which is stricter by that second.

--- a/cloverwell/connections/client_policy.py
+++ b/cloverwell/connections/client_policy.py
@@ -12,6 +12,9 @@
 - how long after the accept a client sends its first request: a client that is silent far beyond that time
   probably never sends any;
 - how often a client that has sent one request, or a few, or many, sends another one (`IdleStatistics`).
+
+A client that has not taken all bytes of its responses is not idle, whoever holds the rest: it is closed once
+it has taken nothing for too long (`ResponseDelivery`).
 """
 
 from __future__ import annotations
@@ -23,6 +26,7 @@
 from cloverwell.connections.client_states import ClientStage, ClientStates, ClientT, idle_group
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.idle_statistics import ArrivalRate, IdleStatistics, PeakEstimate
+from cloverwell.connections.response_delivery import ResponseDelivery
 
 __all__ = ["ClientConnectionPolicy", "ClientStage", "CloseClient", "CloseReason"]
 
@@ -30,6 +34,7 @@
 FIRST_REQUEST_TIMEOUT_MS = 1900.0  # The platform's limit for a silent connection is 2 s.
 PARTIAL_COMMAND_TIMEOUT_MS = 2400.0  # A client may take 2 s for a command, and must get an error within 3 s.
 IDLE_TIMEOUT_MS = 10_000.0  # the time after which a client without an open request is disconnected
+NOT_READING_TIMEOUT_MS = 10_000.0  # the time after which a client that takes none of its responses is closed
 CLOSE_TIMEOUT_MS = 1000.0  # the time that a client has to close its side once the proxy's side is closed
 CLOSE_TIMEOUT_UNDER_PRESSURE_MS = 100.0  # that time while no descriptor is available
 
@@ -40,6 +45,9 @@
 GRACE_FACTOR = 3.0  # the grace is this multiple of the time in which 95% of clients send a first request
 PARTIAL_COMMAND_GRACE_MS = 500.0
 RESPONSE_DELIVERY_MS = 20.0  # the time for which a response may still be on its way to its client
+# The time after which a client that seems idle is observed for undelivered bytes. A client that soon sends
+# its next request costs no observation.
+IDLE_OBSERVATION_MS = 250.0
 
 # The share of the clients' descriptors above which connections without a request get the shortest grace.
 MAX_SILENT_SHARE = 0.5
@@ -88,6 +96,8 @@
         self.max_clients = max_clients
         self.max_requesting = max_requesting
         self.states: ClientStates[ClientT] = ClientStates()
+        self.delivery: ResponseDelivery[ClientT] = ResponseDelivery()
+        self._idle_observed_until_ms = now  # Clients that became idle until then have been observed.
         self._idle_statistics = [IdleStatistics(0.3), IdleStatistics(0.7), IdleStatistics(0.9)]
         self._first_request_ms = PeakEstimate(INITIAL_FIRST_REQUEST_GRACE_MS / GRACE_FACTOR)
         self._arrivals = ArrivalRate(ARRIVAL_RATE_WINDOW_MS, now)
@@ -106,7 +116,7 @@
             return
         if not state.request_count:
             self._first_request_ms.learn(now - state.since_ms)
-        elif state.stage is ClientStage.IDLE:
+        elif state.stage is ClientStage.IDLE or state.stage is ClientStage.RECEIVING:
             self._idle_statistics[idle_group(state.request_count)].learn(True)
         self.states.move(client, state, ClientStage.ACTIVE, now)
         # The count gives the idle group that the client leaves, so that it changes only after the move.
@@ -128,6 +138,8 @@
             return
         if partial_command:
             stage = ClientStage.PARTIAL_COMMAND
+        elif client in self.delivery.clients:
+            stage = ClientStage.RECEIVING
         else:
             stage = ClientStage.IDLE if state.request_count else ClientStage.NEW
         if stage is state.stage:
@@ -151,9 +163,28 @@
             self._idle_statistics[idle_group(state.request_count)].learn(False)
         self.states.move(client, state, ClientStage.CLOSING, now)
 
+    def record_delivery(
+        self, client: ClientT, acknowledged_bytes: int, undelivered_bytes: int, now: float
+    ) -> None:
+        """Record how many bytes the client has acknowledged since the beginning, and how many it has to take.
+
+        The caller observes the clients of `delivery.clients` every now and then, and those that
+        `choose_to_observe` returns.
+        """
+        if (state := self.states.by_client.get(client)) is None:
+            return
+        # Of a client that seemed idle until now, it is not known whether it has taken bytes meanwhile.
+        since_ms = state.since_ms if state.stage is ClientStage.IDLE else now
+        self.delivery.observe(client, acknowledged_bytes, undelivered_bytes, now, since_ms)
+        if state.stage is ClientStage.IDLE and undelivered_bytes:
+            self.states.move(client, state, ClientStage.RECEIVING, now)
+        elif state.stage is ClientStage.RECEIVING and not undelivered_bytes:
+            self.states.move(client, state, ClientStage.IDLE, now)
+
     def record_closed(self, client: ClientT) -> None:
         """Record that the connection is closed on both sides."""
         self.states.remove(client)
+        self.delivery.forget(client)
 
     def record_close_failed(self, client: ClientT, now: float) -> None:
         """Record that a close failed, since bytes are unread; the connection is kept for a while."""
@@ -190,6 +221,13 @@
         """Return whether so many connections are without a request that they probably never send one."""
         return len(self.states.new) > MAX_SILENT_SHARE * self.max_clients
 
+    def choose_to_observe(self, now: float, min_idle_ms: float = IDLE_OBSERVATION_MS) -> list[ClientT]:
+        """Return the clients that have seemed idle for so long, and were not returned before."""
+        until_ms = now - min_idle_ms
+        found = self.states.idle_since(self._idle_observed_until_ms, until_ms)
+        self._idle_observed_until_ms = max(until_ms, self._idle_observed_until_ms)
+        return found
+
     # Choices of connections to close ------------------------------------------------------------
 
     def choose_expired(self, now: float) -> list[CloseClient[ClientT]]:
@@ -203,6 +241,7 @@
         found: list[CloseClient[ClientT]] = []
         for clients, timeout_ms, reason in limits:
             found += [CloseClient(client, reason) for client in states.older_than(clients, now, timeout_ms)]
+        found += self._choose_not_reading(now, NOT_READING_TIMEOUT_MS)
         return found + self._choose_not_closed_by_client(now, CLOSE_TIMEOUT_MS)
 
     def choose_to_make_room(self, now: float, wanted: int, available: int) -> list[CloseClient[ClientT]]:
@@ -233,7 +272,8 @@
         """
         slow_writers = [client for client in self.states.partial if self._writes_slowly(client)]
         idle_count = sum(len(clients) for clients in self.states.idle)
-        free = self.max_requesting - (self.active_count + idle_count + len(slow_writers))
+        used = self.active_count + self.states.receiving_count + idle_count + len(slow_writers)
+        free = self.max_requesting - used
         wanted = min(self.reserve_count(now), self.max_requesting // 2) - free
         found = self._choose_idle(now, max(0, wanted), abort=False)
         # If few connections are left, each one that holds a slow partial command could serve many clients.
@@ -250,6 +290,14 @@
         state = self.states.by_client[client]
         return state.last_bytes_ms > state.since_ms
 
+    def _choose_not_reading(self, now: float, timeout_ms: float) -> list[CloseClient[ClientT]]:
+        """Return the clients that have taken nothing for so long of what there is to take."""
+        return [
+            CloseClient(client, CloseReason.NOT_READING, abort=True)
+            for client in self.delivery.stalled(now, timeout_ms)
+            if self.stage_of(client) is not ClientStage.CLOSING
+        ]
+
     def _choose_not_closed_by_client(
         self, now: float, timeout_ms: float, limit: float = math.inf
     ) -> list[CloseClient[ClientT]]:
--- a/cloverwell/connections/client_states.py
+++ b/cloverwell/connections/client_states.py
@@ -20,8 +20,9 @@
     NEW = 0  # The client has sent no request yet.
     PARTIAL_COMMAND = 1  # The client has sent a part of a command, and has no open request.
     ACTIVE = 2  # The client has an open request.
-    IDLE = 3  # The client has sent requests, and none is open.
+    IDLE = 3  # The client has sent requests, none is open, and it has taken all responses.
     CLOSING = 4  # The proxy has closed its side of the connection.
+    RECEIVING = 5  # The client has no open request, and has not taken all bytes of its responses.
 
 
 @dataclass(slots=True)
@@ -46,9 +47,9 @@
 class ClientStates(Generic[ClientT]):
     """The state table of the clients' connections.
 
-    Each stage except ACTIVE has an ordered dict of its clients, in which the client that entered the stage
-    first comes first; IDLE has one dict for each idle group. The policy reads the dicts; only this class
-    changes them.
+    Each stage except ACTIVE and RECEIVING has an ordered dict of its clients, in which the client that
+    entered the stage first comes first; IDLE has one dict for each idle group. The policy reads the dicts;
+    only this class changes them.
     """
 
     def __init__(self) -> None:
@@ -59,6 +60,7 @@
         self.idle: list[OrderedDict[ClientT, None]] = [OrderedDict() for _ in range(IDLE_GROUPS)]
         self.closing: OrderedDict[ClientT, None] = OrderedDict()
         self.active_count = 0
+        self.receiving_count = 0
         self.new_by_source: Counter[str] = Counter()
 
     def add(self, client: ClientT, source: str, now: float) -> None:
@@ -82,6 +84,9 @@
         if stage is ClientStage.ACTIVE:
             self.active_count += 1
             return
+        if stage is ClientStage.RECEIVING:
+            self.receiving_count += 1
+            return
         if stage is ClientStage.NEW:
             self.new_by_source[state.source] += 1
         self._clients_in_stage_of(state)[client] = None
@@ -108,10 +113,25 @@
                 found.append(client)
         return found
 
+    def idle_since(self, after_ms: float, until_ms: float) -> list[ClientT]:
+        """Return the idle clients that became idle after `after_ms`, and no later than `until_ms`."""
+        found: list[ClientT] = []
+        for clients in self.idle:
+            for client in reversed(clients):
+                since_ms = self.by_client[client].since_ms
+                if since_ms <= after_ms:
+                    break
+                if since_ms <= until_ms:
+                    found.append(client)
+        return found
+
     def _leave_stage(self, client: ClientT, state: ClientState) -> None:
         if state.stage is ClientStage.ACTIVE:
             self.active_count -= 1
             return
+        if state.stage is ClientStage.RECEIVING:
+            self.receiving_count -= 1
+            return
         if state.stage is ClientStage.NEW:
             self.new_by_source[state.source] -= 1
             if not self.new_by_source[state.source]:
--- a/cloverwell/connections/response_delivery.py
+++ b/cloverwell/connections/response_delivery.py
@@ -54,6 +54,12 @@
         """Remove a client that has taken all bytes, or whose connection is closed."""
         self.clients.pop(client, None)
 
+    def stalled(self, now: float, timeout_ms: float) -> list[ClientT]:
+        """Return the clients that have taken nothing for so long, the one that took nothing longest first."""
+        found = [client for client in self.clients if self.stalled_ms(client, now) >= timeout_ms]
+        found.sort(key=lambda client: self.clients[client].last_taken_ms)
+        return found
+
     def stalled_ms(self, client: ClientT, now: float) -> float:
         """Return for how long in ms the client has taken nothing of what is undelivered; 0 if nothing is."""
         progress = self.clients.get(client)
--- a/cloverwell/front/client_closer.py
+++ b/cloverwell/front/client_closer.py
@@ -9,6 +9,7 @@
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.metrics import ConnectionEvent, ConnectionMetrics
 from cloverwell.front.client_connection import ClientConnection
+from cloverwell.front.connection_closing import ConnectionDrainer
 from cloverwell.timer_wheel import TimerWheel
 
 # The time a client has to read its last responses after the proxy has closed its sending side. Aborting the
@@ -24,11 +25,16 @@
         policy: ClientConnectionPolicy[ClientConnection],
         metrics: ConnectionMetrics,
         timer_wheel: TimerWheel,
+        drainer: ConnectionDrainer,
     ) -> None:
-        """Set up a closer that tells `policy` which closes were skipped, and counts all in `metrics`."""
+        """Set up a closer that tells `policy` which closes were skipped, and counts all in `metrics`.
+
+        `drainer` closes connections that may have open requests.
+        """
         self._policy = policy
         self._metrics = metrics
         self._timer_wheel = timer_wheel
+        self._drainer = drainer
 
     def close(self, choices: Sequence[CloseClient[ClientConnection]], wanted: int) -> None:
         """Close the chosen connections in this order, until `wanted` of them have been closed."""
@@ -50,10 +56,8 @@
                 return False
             connection.close_now(choice.reason)
             return True
-        if choice.reason is CloseReason.IDLE and connection.has_unsent_responses:
-            connection.set_close_reason(choice.reason)
-            # The idle timeout is longer than any request's timeout, so nobody waits for that response.
-            connection.end(abort=True)
+        if choice.reason is CloseReason.NOT_READING:
+            self._close_not_reading(connection)
             return True
         if not connection.close_overdue(choice.reason):
             return False
@@ -62,6 +66,17 @@
             connection.close_now(choice.reason)
         return True
 
+    def _close_not_reading(self, connection: ClientConnection) -> None:
+        """Close the connection of a client that takes nothing, and free its buffers.
+
+        If the kernel has taken all responses, it goes on delivering them.
+        """
+        if connection.has_unsent_responses and not connection.has_open_request:
+            connection.set_close_reason(CloseReason.NOT_READING)
+            connection.end(abort=True)
+        else:
+            self._drainer.close_now(connection, CloseReason.NOT_READING)
+
     def _has_unread_responses(self, connection: ClientConnection) -> bool:
         """Return whether the client may still read responses that were sent before the close."""
         if self._timer_wheel.now() - connection.write_closed_ms >= LAST_READ_TIMEOUT_MS:
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -138,8 +138,6 @@
             # A client that always sends its next request at once is never idle when the periodic check runs.
             if self._owner.drainer.is_closing and not self._parsing:
                 self._owner.drainer.advance(self)
-        elif pending[0].data is not None:
-            self._owner.blocked_by_client(self)
         if len(pending) >= MAX_PIPELINED_COMMANDS and self._is_pipeline_full():
             self.hold()
         elif self._held and not self._broken and not self._throttled:
@@ -151,7 +149,6 @@
 
     def roomMade(self) -> None:
         """Send more responses, since the outgoing buffer has room again."""
-        self._owner.client_has_read(self)
         self._responses.resume_stream()
         self.send_responses()
 
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -8,13 +8,11 @@
 from twisted.internet.interfaces import IAddress
 
 from balancer.api import Settings
-from cloverwell.codec.lines import unacknowledged_bytes
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.budget import DescriptorBudget, DescriptorSide
 from cloverwell.connections.client_policy import MAX_ACCEPTS_PER_ITERATION, ClientConnectionPolicy
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.metrics import ConnectionEvent, ConnectionMetrics
-from cloverwell.connections.response_delivery import ResponseDelivery
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.front.client_closer import ClientCloser
 from cloverwell.front.client_connection import ClientConnection
@@ -24,7 +22,6 @@
 from cloverwell.front.delivery_monitor import DeliveryMonitor
 from cloverwell.front.disconnect_detector import DisconnectDetector
 from cloverwell.front.port import BoundedFactory
-from cloverwell.front.unread_responses import UnreadResponses
 from cloverwell.log import Log
 from cloverwell.request import Request
 from cloverwell.serving import Serving
@@ -102,14 +99,13 @@
         self.policy: ClientConnectionPolicy[ClientConnection] = ClientConnectionPolicy(
             budget.max_held(DescriptorSide.CLIENTS), max_requesting, timer_wheel.now()
         )
-        self._closer = ClientCloser(self.policy, metrics, timer_wheel)
         self._log = log
         self._budget = budget
         self._metrics = metrics
         self._accepting_paused = False  # for want of descriptors
-        self._unread_responses: UnreadResponses[ClientConnection] = UnreadResponses()
-        self._delivery_monitor = DeliveryMonitor(ResponseDelivery(), log)
+        self._delivery_monitor = DeliveryMonitor(self.policy, log)
         self.drainer = ConnectionDrainer(self.connections, serving, dispatcher, timer_wheel)
+        self._closer = ClientCloser(self.policy, metrics, timer_wheel, self.drainer)
         self._queue = AcceptQueue(BACKLOG + 1)  # Linux lets one more connection wait than the backlog.
         self.request_descriptor: Callable[[], object] = lambda: None  # asks the nodes' side to free one
         timer_wheel.on_stall = self._check_after_stall
@@ -198,16 +194,6 @@
         """Record that the kernel has not taken all bytes of the responses."""
         self._delivery_monitor.observe(connection, self.timer_wheel.now())
 
-    def blocked_by_client(self, connection: ClientConnection) -> None:
-        """Record that a response can't be sent, since the outgoing buffer is full."""
-        self._unread_responses.blocked(
-            connection, unacknowledged_bytes(connection.fileno()), self.timer_wheel.now()
-        )
-
-    def client_has_read(self, connection: ClientConnection) -> None:
-        """Record that the client has read, so that the outgoing buffer has room again."""
-        self._unread_responses.progressed(connection)
-
     def write_side_closed(self, connection: ClientConnection) -> None:
         """Record the close of the sending side; a client that never closes its side is then disconnected."""
         connection.write_closed_ms = self.timer_wheel.now()
@@ -222,8 +208,6 @@
         self._report_close(connection)
         self.paused_connections.pop(connection, None)
         self.command_scheduler.forget(connection)
-        self._unread_responses.progressed(connection)
-        self._delivery_monitor.delivery.forget(connection)
         self._budget.release(DescriptorSide.CLIENTS)
         self.policy.record_closed(connection)
         self._resume_accepting()
@@ -296,9 +280,6 @@
         self._delivery_monitor.check(now)
         expired = self.policy.choose_expired(now)
         self._closer.close(expired, len(expired))
-        for connection in self._unread_responses.due_for_check(now):
-            if self._unread_responses.has_expired(connection, unacknowledged_bytes(connection.fileno()), now):
-                self.drainer.close_now(connection, CloseReason.NOT_READING)
         self._reserve_descriptors()
         self._resume_accepting()
         self._check_accept_queue()
--- a/cloverwell/front/connection_owner.py
+++ b/cloverwell/front/connection_owner.py
@@ -64,12 +64,6 @@
     def responses_blocked(self, connection: ConnectionT) -> None:
         """Record that the kernel has not taken all bytes of the responses."""
 
-    def blocked_by_client(self, connection: ConnectionT) -> None:
-        """Record that a response can't be sent, since the outgoing buffer is full."""
-
-    def client_has_read(self, connection: ConnectionT) -> None:
-        """Record that the client has read, so that the outgoing buffer has room again."""
-
     def write_side_closed(self, connection: ConnectionT) -> None:
         """Record that the proxy has closed its sending side of the connection."""
 
--- a/cloverwell/front/delivery_monitor.py
+++ b/cloverwell/front/delivery_monitor.py
@@ -4,7 +4,7 @@
 
 from itertools import islice
 
-from cloverwell.connections.response_delivery import ResponseDelivery
+from cloverwell.connections.client_policy import ClientConnectionPolicy
 from cloverwell.front.client_connection import ClientConnection
 from cloverwell.log import Log
 
@@ -14,43 +14,39 @@
 
 
 class DeliveryMonitor:
-    """Observes the clients with undelivered bytes.
+    """Observes the clients with undelivered bytes, and tells the connection policy."""
 
-    Attributes:
-        delivery: what is known of these clients.
-
-    """
-
-    def __init__(self, delivery: ResponseDelivery[ClientConnection], log: Log) -> None:
-        """Set up a monitor that records in `delivery` what it observes."""
-        self.delivery = delivery
+    def __init__(self, policy: ClientConnectionPolicy[ClientConnection], log: Log) -> None:
+        """Set up a monitor that observes nothing before `observe` or `check`."""
+        self._policy = policy
         self._log = log
         self._checked_ms = self._reported_ms = 0.0
 
     def observe(self, connection: ClientConnection, now: float) -> None:
         """Observe what the client has taken until now."""
         found = connection.delivery()
-        self.delivery.observe(connection, found.acknowledged_bytes, found.undelivered_bytes, now, now)
+        self._policy.record_delivery(connection, found.acknowledged_bytes, found.undelivered_bytes, now)
 
     def check(self, now: float) -> None:
         """Observe the clients with undelivered bytes, if that is due."""
         if now - self._checked_ms < CHECK_INTERVAL_MS:
             return
         self._checked_ms = now
-        for connection in list(self.delivery.clients):
+        for connection in [*self._policy.delivery.clients, *self._policy.choose_to_observe(now)]:
             self.observe(connection, now)
         self._report(now)
 
     def _report(self, now: float) -> None:
-        if not self.delivery.clients or now - self._reported_ms < REPORT_INTERVAL_MS:
+        clients = self._policy.delivery.clients
+        if not clients or now - self._reported_ms < REPORT_INTERVAL_MS:
             return
         self._reported_ms = now
-        count = len(self.delivery.clients)
-        described = [self._describe(one, now) for one in islice(self.delivery.clients, MAX_REPORTED_CLIENTS)]
+        count = len(clients)
+        described = [self._describe(client, now) for client in islice(clients, MAX_REPORTED_CLIENTS)]
         more = f" and {count - len(described)} more" if count > len(described) else ""
         self._log.info("unread", f"{count} clients have unread responses: {'; '.join(described)}{more}")
 
     def _describe(self, connection: ClientConnection, now: float) -> str:
-        stalled_ms = self.delivery.stalled_ms(connection, now)
+        stalled_ms = self._policy.delivery.stalled_ms(connection, now)
         stalled = f"nothing acknowledged for {stalled_ms:.0f} ms"
         return f"{connection.peer}, {connection.describe_delivery()}, {stalled}"
--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -15,10 +15,14 @@
 from rig import write
 
 from cloverwell.back.pool import STREAM_STALL_MS
-from cloverwell.connections.client_policy import CLOSE_TIMEOUT_MS, IDLE_TIMEOUT_MS, CloseClient
+from cloverwell.connections.client_policy import (
+    CLOSE_TIMEOUT_MS,
+    IDLE_TIMEOUT_MS,
+    NOT_READING_TIMEOUT_MS,
+    CloseClient,
+)
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.front.client_closer import LAST_READ_TIMEOUT_MS
-from cloverwell.front.unread_responses import CHECK_INTERVAL_MS, READ_TIMEOUT_MS
 from cloverwell.serving import KILL_DELAY_MS, MAX_COUNTED_DEADLINE_MS
 
 SLACK_MS = 300.0  # the interval between the policy's checks, and the steps of the test
@@ -87,7 +91,7 @@
     while proxy.now() < all_answered_ms:
         proxy.advance_clock(20)
         driver.step()
-    by_ms = proxy.now() + READ_TIMEOUT_MS + CHECK_INTERVAL_MS + SLACK_MS
+    by_ms = proxy.now() + NOT_READING_TIMEOUT_MS + SLACK_MS
     assert run_until(proxy, lambda: not connections(proxy), by_ms)
     assert ": not_reading, " in proxy.log.getvalue()
 
@@ -96,7 +100,7 @@
     proxy = rig()
     driver = NodeDriver(proxy)
     client = NotReadingMuch(proxy)
-    by_ms = proxy.now() + 1.5 * READ_TIMEOUT_MS
+    by_ms = proxy.now() + 1.5 * NOT_READING_TIMEOUT_MS
     while proxy.now() < by_ms:
         proxy.advance_clock(20)
         driver.step()
