Let a client read its responses to their end behind the proxy's own close

What callers saw: where the proxy had closed its side behind a response (a malformed command behind a long value), what the client had not taken 10 s later was dropped, however steadily it read.

Cause: ClientCloser counted 10 s from its own close, and looked only whether the kernel still had something.

Change: the close time-outs of ClientConnectionPolicy ask ResponseDelivery, as the idle time-out does: the connection stays while the client takes something within 10 s. A client that takes nothing ends 10 s after the close, as before.

Red on, tests/test_slow_readers.py: 2 of 3 (held by the process and by the kernel: the connection was gone); green: 3 of 3.

--- a/cloverwell/connections/client_policy.py
+++ b/cloverwell/connections/client_policy.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 import math
+import sys
 from dataclasses import dataclass
 from typing import Generic, NamedTuple
 
@@ -299,10 +300,19 @@
         ]
 
     def _choose_not_closed_by_client(
-        self, now: float, timeout_ms: float, limit: float = math.inf
+        self, now: float, timeout_ms: float, limit: int = sys.maxsize
     ) -> list[CloseClient[ClientT]]:
-        late = self.states.older_than(self.states.closing, now, timeout_ms, limit)
-        return [CloseClient(client, CloseReason.CLOSE_TIMEOUT, abort=True) for client in late]
+        late = [
+            client
+            for client in self.states.older_than(self.states.closing, now, timeout_ms)
+            if not self._still_reads(client, now)
+        ]
+        return [CloseClient(client, CloseReason.CLOSE_TIMEOUT, abort=True) for client in late[:limit]]
+
+    def _still_reads(self, client: ClientT, now: float) -> bool:
+        """Return whether the client has responses to take, and has not yet taken nothing for too long."""
+        has_undelivered = client in self.delivery.clients
+        return has_undelivered and self.delivery.stalled_ms(client, now) < NOT_READING_TIMEOUT_MS
 
     def _choose_silent(self, now: float, limit: int, abort: bool) -> list[CloseClient[ClientT]]:
         # If most connections are silent, other clients wait to be accepted, so the grace is the shortest one.
--- a/cloverwell/front/client_closer.py
+++ b/cloverwell/front/client_closer.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Sequence
 
-from cloverwell.codec.lines import unacknowledged_bytes
 from cloverwell.connections.client_policy import ClientConnectionPolicy, CloseClient
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.metrics import ConnectionEvent, ConnectionMetrics
@@ -12,10 +11,6 @@
 from cloverwell.front.connection_closing import ConnectionDrainer
 from cloverwell.timer_wheel import TimerWheel
 
-# The time a client has to read its last responses after the proxy has closed its sending side. Aborting the
-# connection earlier would drop them.
-LAST_READ_TIMEOUT_MS = 10_000.0
-
 
 class ClientCloser:
     """Closes selected connections, except where a request or response could be lost."""
@@ -52,8 +47,6 @@
         """Close one connection; return False if it stays open, since a request or response may be unread."""
         connection = choice.client
         if choice.reason is CloseReason.CLOSE_TIMEOUT:
-            if self._has_unread_responses(connection):
-                return False
             connection.close_now(choice.reason)
             return True
         if choice.reason is CloseReason.NOT_READING:
@@ -76,11 +69,3 @@
             connection.end(abort=True)
         else:
             self._drainer.close_now(connection, CloseReason.NOT_READING)
-
-    def _has_unread_responses(self, connection: ClientConnection) -> bool:
-        """Return whether the client may still read responses that were sent before the close."""
-        if self._timer_wheel.now() - connection.write_closed_ms >= LAST_READ_TIMEOUT_MS:
-            return False
-        return (
-            unacknowledged_bytes(connection.fileno()) > 1
-        )  # The close of the sending side itself counts as one byte.
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -198,6 +198,7 @@
         """Record the close of the sending side; a client that never closes its side is then disconnected."""
         connection.write_closed_ms = self.timer_wheel.now()
         self.policy.record_closing(connection, connection.write_closed_ms)
+        self._delivery_monitor.observe(connection, connection.write_closed_ms)
 
     def connection_closed(self, connection: ClientConnection) -> None:
         """Record that the connection is closed on both sides."""
--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -22,7 +22,6 @@
     CloseClient,
 )
 from cloverwell.connections.close_reason import CloseReason
-from cloverwell.front.client_closer import LAST_READ_TIMEOUT_MS
 from cloverwell.serving import KILL_DELAY_MS, MAX_COUNTED_DEADLINE_MS
 
 SLACK_MS = 300.0  # the interval between the policy's checks, and the steps of the test
@@ -69,7 +68,7 @@
     proxy.run_until(are_buffers_full)  # the client's, the proxy's, and the kernel's on both sides
     stalled_ms = proxy.now() + STREAM_STALL_MS + SLACK_MS
     assert run_until(proxy, lambda: not proxy.service.client_connections.stream_count, stalled_ms)
-    by_ms = proxy.now() + LAST_READ_TIMEOUT_MS + SLACK_MS
+    by_ms = proxy.now() + NOT_READING_TIMEOUT_MS + SLACK_MS
     assert run_until(proxy, lambda: not connections(proxy), by_ms)
     assert "broken_value" in proxy.log.getvalue()
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -164,3 +164,28 @@
     assert reader.connection.closing_state().responses_pending
     reader.read_for(1.5 * NOT_READING_TIMEOUT_MS, 1000)
     assert reader.is_connected
+
+
+@pytest.mark.parametrize("holder", HOLDERS)
+def test_a_client_reads_its_responses_to_their_end_behind_the_close_of_the_proxy(rig, holder):
+    # The fault: 10 s after the proxy had closed its side, it dropped what the client had not taken, however
+    # steadily it read.
+    reader = Reader(rig(), HOLDERS[holder])
+    reader.ask(1, VALUE)
+    reader.conn.sendall(b"ms k x\r\n")  # The proxy answers this with an error and closes its side.
+    reader.read_for(NOT_READING_TIMEOUT_MS + 1000.0)
+    assert reader.connection.ended
+    assert reader.is_connected
+    reader.expected += b"CLIENT_ERROR"
+    reader.read_to_the_end()
+    assert reader.received.startswith(reader.expected)
+
+
+def test_a_client_that_takes_nothing_behind_the_close_of_the_proxy_ends_10_s_after_it(rig):
+    reader = Reader(rig())
+    reader.ask(1, VALUE)
+    reader.conn.sendall(b"ms k x\r\n")
+    reader.read_for(NOT_READING_TIMEOUT_MS - SLACK_MS, 0)
+    assert reader.is_connected
+    reader.read_for(2.0 * SLACK_MS, 0)
+    assert not reader.is_connected
