Close no client to make room while it still takes its responses

What callers saw: under pressure for descriptors a client was closed 20 ms after the kernel had taken its whole value, in the middle of reading it. A next command that it sent meanwhile was lost, and where both sides were closed it was answered with a reset, which lost the rest of the value too.

Cause: ClientConnectionPolicy._choose_idle took a client for idle as soon as the process had handed over the last byte.

Change: before connections are closed to make room, those that have seemed idle for 20 ms are observed. One with undelivered bytes is no longer idle; while no descriptor is free it is closed once it has taken nothing for 2 s, if the kernel has all that is left (which it goes on delivering), the longest stalled one first.

--- a/cloverwell/connections/client_policy.py
+++ b/cloverwell/connections/client_policy.py
@@ -36,6 +36,8 @@
 PARTIAL_COMMAND_TIMEOUT_MS = 2400.0  # A client may take 2 s for a command, and must get an error within 3 s.
 IDLE_TIMEOUT_MS = 10_000.0  # the time after which a client without an open request is disconnected
 NOT_READING_TIMEOUT_MS = 10_000.0  # the time after which a client that takes none of its responses is closed
+# The same while no descriptor is available, if the kernel has all that is left of the responses.
+NOT_READING_UNDER_PRESSURE_MS = 2000.0
 CLOSE_TIMEOUT_MS = 1000.0  # the time that a client has to close its side once the proxy's side is closed
 CLOSE_TIMEOUT_UNDER_PRESSURE_MS = 100.0  # that time while no descriptor is available
 
@@ -222,7 +224,7 @@
         """Return whether so many connections are without a request that they probably never send one."""
         return len(self.states.new) > MAX_SILENT_SHARE * self.max_clients
 
-    def choose_to_observe(self, now: float, min_idle_ms: float = IDLE_OBSERVATION_MS) -> list[ClientT]:
+    def choose_to_observe(self, now: float, min_idle_ms: float) -> list[ClientT]:
         """Return the clients that have seemed idle for so long, and were not returned before."""
         until_ms = now - min_idle_ms
         found = self.states.idle_since(self._idle_observed_until_ms, until_ms)
@@ -264,6 +266,8 @@
             found += self._choose_stalled_partial_commands(now, limit - len(found))
         if len(found) < limit:
             found += self._choose_idle(now, limit - len(found), abort)
+        if abort and len(found) < limit:
+            found += self._choose_stalled_receivers(now)
         return found[: max(0, limit)]
 
     def choose_to_admit_requests(self, now: float) -> list[CloseClient[ClientT]]:
@@ -349,6 +353,18 @@
             for _, _, client in ranked[:limit]
         ]
 
+    def _choose_stalled_receivers(self, now: float) -> list[CloseClient[ClientT]]:
+        """Return the clients without an open request that take nothing, the longest stalled one first.
+
+        The kernel goes on delivering what it has taken. A client for which the process still buffers bytes is
+        not closed by the caller.
+        """
+        return [
+            CloseClient(client, CloseReason.MAKE_ROOM, abort=True)
+            for client in self.delivery.stalled(now, NOT_READING_UNDER_PRESSURE_MS)
+            if self.stage_of(client) is ClientStage.RECEIVING
+        ]
+
     def _had_time_to_read(self, client: ClientT, now: float) -> bool:
         """Return whether the client has had time to read its response; an abort discards unread bytes."""
         return self._age_ms(client, now) >= CLOSE_TIMEOUT_UNDER_PRESSURE_MS
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -10,7 +10,11 @@
 from balancer.api import Settings
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.budget import DescriptorBudget, DescriptorSide
-from cloverwell.connections.client_policy import MAX_ACCEPTS_PER_ITERATION, ClientConnectionPolicy
+from cloverwell.connections.client_policy import (
+    MAX_ACCEPTS_PER_ITERATION,
+    RESPONSE_DELIVERY_MS,
+    ClientConnectionPolicy,
+)
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.metrics import ConnectionEvent, ConnectionMetrics
 from cloverwell.dispatcher import Dispatcher
@@ -288,12 +292,14 @@
     def _reserve_descriptors(self) -> None:
         """Close connections and pause accepting as needed to keep descriptors free for new clients."""
         now = self.timer_wheel.now()
-        if connections_to_close := self.policy.choose_to_admit_requests(now):
+        if self.policy.choose_to_admit_requests(now):
+            self._delivery_monitor.observe_idle(now, RESPONSE_DELIVERY_MS)
+            connections_to_close = self.policy.choose_to_admit_requests(now)
             self._closer.close(connections_to_close, len(connections_to_close))
         free_descriptors = self._budget.available(DescriptorSide.CLIENTS)
         wanted = self.policy.reserve_count(now) - free_descriptors
         if wanted > 0:
-            self._closer.close(self.policy.choose_to_make_room(now, wanted, free_descriptors), wanted)
+            self._make_room(now, wanted, free_descriptors)
         if not self._budget.available(DescriptorSide.CLIENTS) and self._budget.other_can_release(
             DescriptorSide.CLIENTS
         ):
@@ -308,7 +314,12 @@
     def release_descriptor(self) -> None:
         """Close a connection for the nodes' side, if clients hold more descriptors than their floor."""
         if self._budget.other_can_release(DescriptorSide.NODES):
-            self._closer.close(self.policy.choose_to_make_room(self.timer_wheel.now(), 1, 0), 1)
+            self._make_room(self.timer_wheel.now(), wanted=1, available=0)
+
+    def _make_room(self, now: float, wanted: int, available: int) -> None:
+        """Close up to `wanted` connections; a client that still takes bytes is not idle."""
+        self._delivery_monitor.observe_idle(now, RESPONSE_DELIVERY_MS)
+        self._closer.close(self.policy.choose_to_make_room(now, wanted, available), wanted)
 
     def describe_open_connections(self) -> str:
         """Return a line that describes the open connections, for the log."""
--- a/cloverwell/front/delivery_monitor.py
+++ b/cloverwell/front/delivery_monitor.py
@@ -4,7 +4,7 @@
 
 from itertools import islice
 
-from cloverwell.connections.client_policy import ClientConnectionPolicy
+from cloverwell.connections.client_policy import IDLE_OBSERVATION_MS, ClientConnectionPolicy
 from cloverwell.front.client_connection import ClientConnection
 from cloverwell.log import Log
 
@@ -27,13 +27,19 @@
         found = connection.delivery()
         self._policy.record_delivery(connection, found.acknowledged_bytes, found.undelivered_bytes, now)
 
+    def observe_idle(self, now: float, min_idle_ms: float) -> None:
+        """Observe the clients that have seemed idle for so long, unless they were observed since then."""
+        for connection in self._policy.choose_to_observe(now, min_idle_ms):
+            self.observe(connection, now)
+
     def check(self, now: float) -> None:
         """Observe the clients with undelivered bytes, if that is due."""
         if now - self._checked_ms < CHECK_INTERVAL_MS:
             return
         self._checked_ms = now
-        for connection in [*self._policy.delivery.clients, *self._policy.choose_to_observe(now)]:
+        for connection in list(self._policy.delivery.clients):
             self.observe(connection, now)
+        self.observe_idle(now, IDLE_OBSERVATION_MS)
         self._report(now)
 
     def _report(self, now: float) -> None:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -9,7 +9,12 @@
 
 import pytest
 
-from cloverwell.connections.client_policy import IDLE_TIMEOUT_MS, NOT_READING_TIMEOUT_MS
+from cloverwell.connections.client_policy import (
+    IDLE_TIMEOUT_MS,
+    NOT_READING_TIMEOUT_MS,
+    NOT_READING_UNDER_PRESSURE_MS,
+    RESPONSE_DELIVERY_MS,
+)
 
 STEP_MS = 100.0
 SLACK_MS = 300.0  # between two observations, two checks of the policy and two steps of the test
@@ -189,3 +194,33 @@
     assert reader.is_connected
     reader.read_for(2.0 * SLACK_MS, 0)
     assert not reader.is_connected
+
+
+def test_a_client_that_still_takes_its_value_is_not_closed_to_make_room(rig):
+    # The fault: a client counted as idle once the kernel had its whole value. If a descriptor was needed, its
+    # connection was closed, and its next command was lost, as was the rest of the value behind a reset.
+    reader = Reader(rig(sockets=64), LARGE_BUFFER)
+    reader.ask(1, VALUE)
+    reader.proxy.advance_clock(RESPONSE_DELIVERY_MS + 10.0)
+    others = [reader.proxy.client() for _ in range(30)]
+    for _ in range(30):
+        reader.proxy.service.client_connections._make_room(reader.proxy.now(), wanted=1, available=0)
+        reader.read_for(100.0)
+    assert len(others) > len(reader.proxy.service.client_connections.connections)
+    reader.ask(2, b"next")
+    reader.read_to_the_end()
+    assert reader.received == reader.expected
+
+
+def test_a_client_that_takes_nothing_is_closed_to_make_room(rig):
+    reader = Reader(rig(), LARGE_BUFFER)
+    reader.ask(1, VALUE)
+    make_room = reader.proxy.service.client_connections._make_room
+    reader.read_for(NOT_READING_UNDER_PRESSURE_MS - SLACK_MS, 0)
+    make_room(reader.proxy.now(), wanted=1, available=0)
+    assert reader.is_connected
+    reader.read_for(2.0 * SLACK_MS, 0)
+    make_room(reader.proxy.now(), wanted=1, available=0)
+    assert not reader.is_connected
+    reader.read_to_the_end()  # The kernel still delivers what it has taken.
+    assert reader.received == reader.expected
