Count a long value as stalled only while its node may give the next piece

What callers saw: a client that reads a long value slowly got it broken off after 10 s, as the value "has stalled" (`broken_value`), from a cache node and from the origin alike, and the node was taken for one that answers malformed.

At 1 KB/s that lasts longer than 10 s.

Change: the time counts from when the connection is read again, and not while it is held back. Whether the client still takes bytes is for ResponseDelivery alone.

--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -7,14 +7,13 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
 from enum import Enum, auto
-from typing import Protocol
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from cloverwell.back.connection_pool import ConnectionPool
 from cloverwell.back.partial_write import PartialWrite
 from cloverwell.codec.lines import PEEK_FLAGS, RingLineReceiver
 from cloverwell.codec.steady_socket import TryAgainError
@@ -22,10 +21,8 @@
 from cloverwell.connections.connection_loss import ConnectionLoss
 from cloverwell.connections.node_policy import ConnectionUse
 from cloverwell.facade import AttemptOutcome
-from cloverwell.log import Log
 from cloverwell.request import MIN_PROPAGATED_MS, Attempt
 from cloverwell.streamed_value import StreamedValue
-from cloverwell.timer_wheel import Timer
 
 STREAM_READ_BYTES = 32 * 1024  # the part of a long value that is read at once, and buffered for a slow client
 FRESH_MS = 10.0  # an unused connection that was opened less than this ago does not count as idle
@@ -40,63 +37,10 @@
     TOO_LATE = auto()  # no byte was written, since no time is left for the node to work on the attempt
 
 
-class ConnectionPool(Protocol):
-    """The methods of a pool that its connections call. Times are milliseconds of the timer wheel's clock."""
-
-    node: str
-    address: tuple[str, int] | None
-    log: Log
-    tick_ms: float  # the most ms by which a call of `call_at` is late
-    partial_answers: dict[NodeConnection, int]  # the number of checks since the last data of an answer
-
-    @property
-    def forbids_concurrent_attempts(self) -> bool:
-        """True if a request must not have two attempts in flight at once."""
-
-    def now(self) -> float:
-        """Returns the current time."""
-
-    def call_at(self, when_ms: float, call: Callable[[], None]) -> Timer:
-        """Calls `call` at the time `when_ms`, or up to a tick later."""
-
-    def hold_ms(self) -> float:
-        """Returns the time in ms for which the last byte of an attempt is held back."""
-
-    def is_too_late(self, attempt: Attempt) -> bool:
-        """Returns whether it is too late to write a byte of the attempt."""
-
-    def add(self, connection: NodeConnection) -> None:
-        """Adds a connection that has been opened."""
-
-    def connection_freed(self, connection: NodeConnection) -> None:
-        """Is called when an attempt on the connection has ended; a free connection may carry another."""
-
-    def remove(self, connection: NodeConnection, reason: NodeCloseReason, requests: list[str]) -> None:
-        """Removes a connection that has ended; `requests` are the ids of the requests with attempts on it."""
-
-    def reassign(self, attempt: Attempt) -> None:
-        """Writes an attempt to another connection, since its own ended before the last byte was written."""
-
-    def close_attempt(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
-        """Ends an attempt in flight whose connection the proxy itself has closed."""
-
-    def record_answer(self, idle_age_ms: float | None, first_byte_ms: float) -> None:
-        """Records an answer; `idle_age_ms` is the idle time before it, None on a fresh connection."""
-
-    def record_silence(self, idle_age_ms: float | None, first_byte_ms: float) -> None:
-        """Records an attempt that was given up before any byte of its answer arrived."""
-
-    def record_idle_close(self) -> None:
-        """Records that the node closed a connection without an attempt on it."""
-
-    def record_loss(self, loss: ConnectionLoss) -> None:
-        """Records that the node closed a connection with an attempt on it."""
-
-
 class NodeConnection(RingLineReceiver):
     """A connection to a node, with its attempts in the order in which their answers are due."""
 
-    def __init__(self, pool: ConnectionPool, open_started_ms: float) -> None:
+    def __init__(self, pool: ConnectionPool[NodeConnection], open_started_ms: float) -> None:
         """Starts without an attempt; `pool` began to open the connection at `open_started_ms`."""
         super().__init__()
         self._pool = pool
@@ -107,7 +51,8 @@
         self.usable_from_ms = 0.0  # the time before which no attempt is written to it
         self.address_changed = False  # whether the node has a new address; attempts in flight here continue
         self.stream: StreamedValue | None = None  # the long value that is arriving, if any
-        self.last_stream_data_ms = 0.0  # the time at which the last piece of it arrived
+        # The time at which the last piece of it arrived, or from which the next one has been waited for.
+        self.last_stream_data_ms = 0.0
         self._idle_age_ms: float | None = None  # the idle time before its oldest attempt was written
         self._first_byte_ms = 0.0  # the time at which the first byte of that attempt was written
         self._partial_write: PartialWrite | None = None  # the attempt whose last byte is held back
@@ -290,6 +235,16 @@
         assert self.stream is not None  # Pieces are expected only while a long value arrives.
         self.stream.receive(data)
 
+    def release(self) -> None:
+        """Continues reading; while a long value waited for its client, the node could not give any of it."""
+        if self._held:
+            self.last_stream_data_ms = self._pool.now()
+        super().release()
+
+    def stream_awaited_since_ms(self, now: float) -> float:
+        """Returns since when the next piece of a long value is due; `now` while it waits for its client."""
+        return now if self._held else self.last_stream_data_ms
+
     def end_stream(self, has_id: bool = True) -> None:
         """Completes a long value that has arrived whole, with a valid end."""
         stream, self.stream = self.stream, None
--- a/cloverwell/back/pool.py
+++ b/cloverwell/back/pool.py
@@ -370,7 +370,7 @@
         stalled = [
             connection
             for connection in self.connections
-            if connection.stream is not None and now - connection.last_stream_data_ms >= STREAM_STALL_MS
+            if connection.stream and now - connection.stream_awaited_since_ms(now) >= STREAM_STALL_MS
         ]
         for connection in stalled:
             connection.framingLost("a long value has stalled")
@@ -390,9 +390,9 @@
         open_ahead_due_ms = self._policy.next_open_ahead_ms(self.node)
         if not self.connections:
             return open_ahead_due_ms
-        last_data_ms = min((one.last_stream_data_ms for one in self.connections if one.stream), default=now)
-        idle = self._idle.connections
-        idle_since_ms = idle[0].idle_since_ms if idle else now
+        streaming = [one for one in self.connections if one.stream]
+        last_data_ms = min((one.stream_awaited_since_ms(now) for one in streaming), default=now)
+        idle_since_ms = self._idle.connections[0].idle_since_ms if self._idle.connections else now
         return min(
             last_data_ms + STREAM_STALL_MS,
             idle_since_ms + self._policy.idle_limit_ms(self.node),
