--- /dev/null
+++ b/tests/test_slow_readers_at_ends.py
@@ -0,0 +1,47 @@
+"""Clients that still take their responses when the process is drained or stops; see test_slow_readers.py."""
+
+from slow_reader import LARGE_BUFFER, SHORT_VALUE, VALUE, Reader
+
+from cloverwell.serving import KILL_DELAY_MS, KILL_MARGIN_MS
+
+DRAIN_MS = 12_000.0  # longer than a drain waits for a long value, whoever reads it
+LONGEST_DEADLINE_MS = 2000.0  # of the rig's settings
+
+
+def test_a_drain_does_not_cut_off_a_client_that_still_takes_a_long_value(rig):
+    # The failure: 10 s after a drain began, a long value was cut off however steadily its client read it.
+    reader = Reader(rig())
+    reader.ask(1, VALUE * 4)
+    reader.proxy.service.drain()
+    reader.read_for(DRAIN_MS)
+    assert reader.is_connected
+    reader.read_to_the_end()
+    assert reader.received == reader.expected
+
+
+def test_a_drain_does_not_cut_off_a_client_that_still_takes_short_answers(rig):
+    # The failure: 3.7 s after a drain began, answers of at most 64 KiB that the process still buffered were
+    # cut off however steadily their client read them.
+    reader = Reader(rig())
+    for number in (1, 2):
+        reader.ask(number, SHORT_VALUE)
+    reader.proxy.service.drain()
+    reader.read_for(5000.0)
+    assert reader.is_connected
+    reader.read_to_the_end()
+    assert reader.received == reader.expected
+
+
+def test_a_shutdown_does_not_reset_a_client_that_still_takes_its_value(rig):
+    # The failure: 1 s after SIGTERM both sides were closed although the kernel still held most of the value,
+    # and the client's next command was answered with a reset, which lost the rest.
+    reader = Reader(rig(), LARGE_BUFFER)
+    reader.ask(1, VALUE)
+    reader.read_for(1000.0, 20_000)
+    reader.proxy.service.stop()
+    reader.read_for(1200.0, 20_000)
+    assert not reader.ended
+    reader.conn.sendall(b"mn\r\n")  # Clients send on every connection that stays open.
+    reader.read_for(LONGEST_DEADLINE_MS + KILL_DELAY_MS - KILL_MARGIN_MS - 1200.0, 20_000)
+    assert reader.ended != "reset"
+    assert reader.received.startswith(reader.expected)
--- a/tests/test_states_against_ends.py
+++ b/tests/test_states_against_ends.py
@@ -211,6 +211,15 @@
         assert run.ended_ms < run.stopped_ms + run.kill_ms
 
 
+def test_long_values_are_being_sent_when_an_end_begins(monkeypatch):
+    # The failure: the reads of both states were rejected as busy, so that nothing of them was tested.
+    run = EndRun(monkeypatch)
+    try:
+        assert run.rig.service.client_connections.stream_count == len(STREAMS)
+    finally:
+        run.rig.close()
+
+
 # Instants that come in one tick ------------------------------------------------------------------
 
 
