Let no stalled client that can't be closed hide the ones that can

Cause: choose_to_make_room named at most twice as many clients as descriptors were wanted.

Red: tests/test_front.py, `hide_no`: 2 of 3 clients were named.

--- a/cloverwell/connections/client_policy.py
+++ b/cloverwell/connections/client_policy.py
@@ -248,7 +248,9 @@
         return found + self._choose_not_closed_by_client(now, CLOSE_TIMEOUT_MS)
 
     def choose_to_make_room(self, now: float, wanted: int, available: int) -> list[CloseClient[ClientT]]:
-        """Return up to twice `wanted` connections to close, those least likely to send a request first.
+        """Return connections to close, those least likely to send a request first.
+
+        They are up to twice `wanted` idle ones, and behind them all clients that take nothing.
 
         `wanted` descriptors are needed, and `available` are free. Connections that are closing free their
         descriptors within moments, so they count as free; they are aborted only if no descriptor is free.
@@ -266,9 +268,11 @@
             found += self._choose_stalled_partial_commands(now, limit - len(found))
         if len(found) < limit:
             found += self._choose_idle(now, limit - len(found), abort)
-        if abort and len(found) < limit:
+        found = found[: max(0, limit)]
+        if abort:
+            # All of them, since the caller can't close those for which the process still buffers bytes.
             found += self._choose_stalled_receivers(now)
-        return found[: max(0, limit)]
+        return found
 
     def choose_to_admit_requests(self, now: float) -> list[CloseClient[ClientT]]:
         """Return the connections to close so that clients can open new ones for further requests.
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -13,6 +13,7 @@
     IDLE_TIMEOUT_MS,
     MAX_FIRST_REQUEST_GRACE_MS,
     MIN_FIRST_REQUEST_GRACE_MS,
+    NOT_READING_UNDER_PRESSURE_MS,
     PARTIAL_COMMAND_TIMEOUT_MS,
     RESPONSE_DELIVERY_MS,
     ClientConnectionPolicy,
@@ -272,3 +273,17 @@
         policy.record_request_started(number, 1500.0)
     assert [close.client for close in policy.choose_to_admit_requests(1500.0)] == ["slow"]
     assert [close.client for close in policy.choose_expired(2400.0)] == ["slow", "silent"]
+
+
+def test_stalled_clients_whose_bytes_the_process_still_holds_hide_no_other_that_can_be_closed():
+    # The fault: no more than twice as many clients as descriptors are wanted were named. Those for which the
+    # process still buffers bytes can't be closed, and were named again and again if they had stalled longest.
+    policy = ClientConnectionPolicy(100, 30, 0.0)
+    for client in ("buffered", "buffered too", "in the kernel"):
+        policy.record_opened(client, 0.0)
+        policy.record_request_started(client, 0.0)
+        policy.record_no_open_request(client, 0.0, False)
+        policy.record_delivery(client, acknowledged_bytes=0, undelivered_bytes=1, now=0.0)
+    assert policy.choose_to_make_room(NOT_READING_UNDER_PRESSURE_MS - 1.0, 1, 0) == []
+    closes = policy.choose_to_make_room(NOT_READING_UNDER_PRESSURE_MS, 1, 0)
+    assert [close.client for close in closes] == ["buffered", "buffered too", "in the kernel"]
