--- /dev/null
+++ b/lab/memory/neighbours.py
@@ -0,0 +1,58 @@
+"""Cache nodes and an origin that serve values of any size: the key `size60000-1` has 60,000 bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+from lab.loopback.event_time import EventTime
+from lab.loopback.nodes import StandIn, read_head
+
+SIZE = re.compile(r"size(\d+)")
+SHORT_VALUE = b"value"
+
+
+def value_of(key: str) -> bytes:
+    """Return the value of a key."""
+    found = SIZE.search(key)
+    return b"v" * int(found[1]) if found else SHORT_VALUE
+
+
+class SizedCacheNode(StandIn):
+    """Answers each read with its key's value; keys that begin with `hang` are never answered."""
+
+    def __init__(self) -> None:
+        """Listen nowhere before `start`."""
+        super().__init__(EventTime())
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the reads of a connection in their order."""
+        while line := await reader.readline():
+            words = line.decode().split()
+            if words[1].startswith("hang"):
+                await reader.read(1)
+                return
+            opaque = next(word for word in words if word.startswith("O"))
+            value = value_of(words[1])
+            writer.write(f"VA {len(value)} {opaque}\r\n".encode() + value + b"\r\n")
+            await writer.drain()
+
+
+class SizedOrigin(StandIn):
+    """Takes writes, and serves reads with their key's value."""
+
+    def __init__(self) -> None:
+        """Listen nowhere before `start`."""
+        super().__init__(EventTime())
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the requests of a connection in their order."""
+        while True:
+            method, target, headers = await read_head(reader)
+            await reader.readexactly(int(headers.get("content-length", 0)))
+            body = b"receipt" if method == "PUT" else value_of(target)
+            head = (
+                f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\nRequest-Id: {headers['request-id']}\r\n"
+            )
+            writer.write(head.encode() + b"\r\n" + body)
+            await writer.drain()
