Free a closed connection at once, without the garbage collector

Cause: each closed connection stood in a reference cycle until the next collection, up to 10,000 objects later: connection and response queue; connection, request and pending response of a client that left; Twisted's connector and transport of a connection to a node. Change: the queue refers to its connection weakly; an abandoned response drops its request; the factory drops the connector's transport.

--- a/cloverwell/back/opener.py
+++ b/cloverwell/back/opener.py
@@ -17,6 +17,12 @@
 from cloverwell.system_calls import LocalFault, connect_fault
 
 
+class Connector(Protocol):
+    """The part of Twisted's connector that is used here."""
+
+    transport: object | None
+
+
 class OpeningPool(Protocol):
     """The methods of a pool that are called when one of its connections was opened, or was not."""
 
@@ -138,6 +144,10 @@
         """Returns the protocol of the connection, or None, so that it is closed."""
         return self._owner.build(self._address, self._open_started_ms)
 
+    def clientConnectionLost(self, connector: Connector, _reason: Failure) -> None:
+        """Breaks the reference cycle of connector and transport, which only a collection would free."""
+        connector.transport = None
+
     def clientConnectionFailed(self, _connector: IConnector, reason: Failure) -> None:
         """Reports that the connection failed, by a fault of this machine or of the network or the node."""
         fault = None if reason.value is None else connect_fault(reason.value)
--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -5,6 +5,7 @@
 from collections import deque
 from itertools import islice
 from typing import Any, Protocol
+from weakref import proxy
 
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.front.connection_owner import ConnectionOwner
@@ -50,7 +51,8 @@
 
     def __init__(self, connection: SendingConnection, owner: ConnectionOwner[Any]) -> None:
         """Set up an empty queue that sends on `connection`."""
-        self._connection = connection
+        # The connection owns its queue. A reference back would leave both to the garbage collector.
+        self._connection: SendingConnection = proxy(connection)
         self._owner = owner
         self._stream: ResponseStream | None = None
         self._stream_end_unsent = False  # whether the end of a long value may still be in the outgoing buffer
@@ -121,10 +123,14 @@
             self._stream = None
         abandoned = list(self.pending)
         self.pending.clear()
+        open_requests = []
         for response in abandoned:
             if response.stream is not None:
                 response.stream.cancel()
-        return [response.request for response in abandoned if response.request is not None]
+            if response.request is not None:
+                open_requests.append(response.request)
+                response.request = None  # breaks a reference cycle
+        return open_requests
 
     def _start_stream(self, value: StreamedValue) -> None:
         self._stream = ResponseStream(value, self, self._connection, self._owner)
