Give freed memory back to the kernel at once

Callers saw: behind a crowd a process kept nearly all memory of its top, and a second crowd began from there. Cause: the allocator keeps freed blocks for later requests, and raises the size from which it maps a block by itself with each large block that is freed. Change: `process_memory.tune_allocator` fixes both sizes (32 KB mapped, 64 KB kept) and has one arena; with another C library it does nothing.

--- a/cloverwell/program.py
+++ b/cloverwell/program.py
@@ -24,6 +24,7 @@
 from cloverwell.log import Log
 from cloverwell.log_stream import write_last_line
 from cloverwell.monotonic_reactor import install_reactor
+from cloverwell.process_memory import tune_allocator
 from cloverwell.proxy import Proxy
 from cloverwell.timer_wheel import monotonic_ms
 from cloverwell.unix_time import read_epoch_ms
@@ -82,6 +83,7 @@
         if handover_folder
         else None
     )
+    tune_allocator()
     reactor = install_reactor()
     # Twisted's reactors declare their interfaces to zope, which a type checker without a plugin can't read.
     proxy = Proxy(cast(ProxyReactor, reactor), config, log, monotonic_ms, read_epoch_ms, predecessor)
