--- a/cloverwell/assembly.py
+++ b/cloverwell/assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -32,6 +33,8 @@
 from cloverwell.log import Log
 from cloverwell.loop_work import stall_reporter
 from cloverwell.membership.endpoint_discovery import EndpointDiscovery
+from cloverwell.memory_budget import BYTES_PER_MB, MemoryBudget
+from cloverwell.memory_monitor import MemoryMonitor
 from cloverwell.serving import Serving
 from cloverwell.timer_wheel import TimerWheel
 
@@ -47,9 +50,8 @@
 MIN_CONNECTIONS = 8
 # The share of all descriptors up to which the platform's clients open connections for requests.
 REQUEST_CONNECTIONS_SHARE = 1.0 / 3.0
-# The share of the memory limit for buffers of streamed values, whose clients may read more slowly than the
-# values arrive.
-STREAMED_VALUES_MEMORY_SHARE = 0.125
+# What a process takes at rest, until `Proxy.measure_memory` has measured it.
+TYPICAL_REST_BYTES = 27 * BYTES_PER_MB
 # An idle connection to a node is closed after this share of the time after which the node would close it.
 # Otherwise a request could be written to a connection that the node is just closing.
 IDLE_CLOSE_SHARE = 0.9
@@ -60,8 +62,6 @@
 NETWORK_DELAY_MS = 50.0
 DRAIN_GRACE_MARGIN_MS = MAX_EVENT_LOOP_STALL_MS + NETWORK_DELAY_MS
 
-BYTES_PER_MB = 1024 * 1024
-
 
 class ProxyReactor(IReactorCore, IReactorTime, IReactorTCP, IReactorSocket):
     """The interfaces of Twisted's reactor that a proxy uses.
@@ -85,6 +85,8 @@
     counts: Counters
     serving: Serving
     budget: DescriptorBudget
+    memory: MemoryBudget
+    memory_monitor: MemoryMonitor
     node_policy: NodeConnectionPolicy
     pools: NodePools
     facade: Facade
@@ -123,21 +125,26 @@
     metrics, counts, serving = ConnectionMetrics(), Counters(), Serving()
     budget = _make_budget(config, predecessor)
     node_policy = _make_node_policy(settings)
-    pools = _make_pools(reactor, settings, timer_wheel, log, budget, node_policy, metrics)
+    memory = MemoryBudget(math.inf)
+    memory.resize(config.limits.memory_mb * BYTES_PER_MB, TYPICAL_REST_BYTES)
+    pools = _make_pools(reactor, settings, timer_wheel, log, budget, node_policy, metrics, memory)
     facade = Facade(settings, config.seed, now)
     dispatcher = Dispatcher(facade, timer_wheel, pools, log, counts)
     endpoint_discovery = EndpointDiscovery(
         reactor, timer_wheel, settings, pools, log, config.discovery, read_epoch_ms, counts, config.seed
     )
     client_connections = _make_client_connections(
-        config, settings, dispatcher, timer_wheel, log, budget, metrics, serving
+        config, settings, dispatcher, timer_wheel, log, budget, metrics, serving, memory
     )
+    memory_monitor = MemoryMonitor(timer_wheel, log, memory, client_connections, config.limits.memory_mb)
     parts = ProxyParts(
         timer_wheel,
         metrics,
         counts,
         serving,
         budget,
+        memory,
+        memory_monitor,
         node_policy,
         pools,
         facade,
@@ -170,6 +177,7 @@
     budget: DescriptorBudget,
     node_policy: NodeConnectionPolicy,
     metrics: ConnectionMetrics,
+    memory: MemoryBudget,
 ) -> NodePools:
     return NodePools(
         reactor,
@@ -182,6 +190,7 @@
         settings.attempts_per_connection,
         settings.connect_timeout_ms,
         single_attempt_in_flight=not settings.may_hedge,
+        memory=memory,
     )
 
 
@@ -194,9 +203,9 @@
     budget: DescriptorBudget,
     metrics: ConnectionMetrics,
     serving: Serving,
+    memory: MemoryBudget,
 ) -> ClientConnections:
     request_connections = int(REQUEST_CONNECTIONS_SHARE * config.limits.sockets)
-    streamed_bytes = int(STREAMED_VALUES_MEMORY_SHARE * config.limits.memory_mb * BYTES_PER_MB)
     return ClientConnections(
         settings,
         dispatcher,
@@ -206,7 +215,7 @@
         metrics,
         request_connections,
         serving,
-        streamed_bytes,
+        memory,
     )
 
 
--- a/cloverwell/back/cache_connection.py
+++ b/cloverwell/back/cache_connection.py
@@ -37,8 +37,11 @@
                 length = int(words[1])
                 if length > STREAMING_THRESHOLD_BYTES:
                     self.begin_stream(length)
-                else:
+                elif self.has_memory_for(length):
                     self.expect_value(length + len(self.delimiter))
+                else:
+                    self.expect_pieces(length + len(self.delimiter))
+                    self.refuse_value()
             case [b"HD"]:
                 self._check(words[1:], write=True)
                 receipts = [word[1:] for word in words[1:] if word.startswith(b"c")]
--- a/cloverwell/back/connection_pool.py
+++ b/cloverwell/back/connection_pool.py
@@ -9,6 +9,7 @@
 from cloverwell.connections.connection_loss import ConnectionLoss
 from cloverwell.facade import AttemptOutcome
 from cloverwell.log import Log
+from cloverwell.memory_budget import MemoryBudget
 from cloverwell.request import Attempt
 from cloverwell.timer_wheel import Timer
 
@@ -21,6 +22,7 @@
     node: str
     address: tuple[str, int] | None
     log: Log
+    memory: MemoryBudget
     tick_ms: float  # the most ms by which a call of `call_at` is late
     partial_answers: dict[ConnectionT, int]  # the number of checks since the last data of an answer
 
--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -15,15 +15,19 @@
 
 from cloverwell.back.connection_pool import ConnectionPool
 from cloverwell.back.partial_write import PartialWrite
-from cloverwell.codec.lines import PEEK_FLAGS, RingLineReceiver
+from cloverwell.codec.lines import BufferedLineReceiver
+from cloverwell.codec.socket_state import PEEK_FLAGS
 from cloverwell.codec.steady_socket import TryAgainError
 from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.connections.connection_loss import ConnectionLoss
 from cloverwell.connections.node_policy import ConnectionUse
 from cloverwell.facade import AttemptOutcome
-from cloverwell.request import MIN_PROPAGATED_MS, Attempt
+from cloverwell.memory_budget import Urgency
+from cloverwell.request import MIN_PROPAGATED_MS, Attempt, NoMemory
 from cloverwell.streamed_value import StreamedValue
 
+LEAST_READ_BYTES = 4 * 1024  # read at once, however little memory is left
+MAX_READ_BYTES = 64 * 1024  # read at once while there is memory
 STREAM_READ_BYTES = 32 * 1024  # the part of a long value that is read at once, and buffered for a slow client
 FRESH_MS = 10.0  # an unused connection that was opened less than this ago does not count as idle
 LATE_DATA_MS = 15.0  # a duplicate of an answer, or data after it, may arrive up to this much later
@@ -37,12 +41,12 @@
     TOO_LATE = auto()  # no byte was written, since no time is left for the node to work on the attempt
 
 
-class NodeConnection(RingLineReceiver):
+class NodeConnection(BufferedLineReceiver):
     """A connection to a node, with its attempts in the order in which their answers are due."""
 
     def __init__(self, pool: ConnectionPool[NodeConnection], open_started_ms: float) -> None:
         """Starts without an attempt; `pool` began to open the connection at `open_started_ms`."""
-        super().__init__()
+        super().__init__(pool.memory)
         self._pool = pool
         self.attempts: deque[Attempt] = deque()
         self.open_started_ms = open_started_ms
@@ -56,6 +60,7 @@
         self._idle_age_ms: float | None = None  # the idle time before its oldest attempt was written
         self._first_byte_ms = 0.0  # the time at which the first byte of that attempt was written
         self._partial_write: PartialWrite | None = None  # the attempt whose last byte is held back
+        self._discards_value = False  # whether the value that is arriving has no memory, and is discarded
         self._close_after_answer = False  # whether it is closed after the answer that is arriving
 
     def encode_command(self, attempt: Attempt) -> bytes:
@@ -70,7 +75,8 @@
     @property
     def is_free(self) -> bool:
         """True if the connection is open and carries nothing, so that an attempt may be written to it."""
-        return not (self.ended or self.attempts or self._partial_write or self.stream)
+        busy = self.attempts or self._partial_write or self.stream or self._discards_value
+        return not (self.ended or busy)
 
     @property
     def has_partial_write(self) -> bool:
@@ -102,6 +108,7 @@
         if not self.attempts and self._is_unusable():
             return SendResult.BROKEN
         attempt.propagated_ms = left_ms
+        self.transport.bufferSize = self._memory.read_bytes(LEAST_READ_BYTES, MAX_READ_BYTES)
         data = self.encode_command(attempt)
         unwritten = data[-1:] if use is ConnectionUse.HOLD_LAST_BYTE else b""
         held_back = self.try_write_command(data[:-1] if unwritten else data)
@@ -199,11 +206,7 @@
         """Parses data, and lets the pool watch an answer that has begun, in case it never ends."""
         super().dataReceived(data)
         # A long value is not watched here, since it has a time limit of its own.
-        if (
-            not self.ended
-            and self.stream is None
-            and (self._awaited_bytes or self._streamed_bytes_left or len(self._incoming))
-        ):
+        if not self.ended and self.stream is None and self.is_mid_message:
             self._pool.partial_answers[self] = 0
         else:
             self._pool.partial_answers.pop(self, None)
@@ -213,16 +216,39 @@
         self._pool.log.warn("answer", f"malformed answer from {self._pool.node}: {reason}")
         self.drop(NodeCloseReason.MALFORMED)
 
+    # A value without memory -----------------------------------------------------------------------
+
+    def has_memory_for(self, size_bytes: int) -> bool:
+        """Returns whether so many bytes may be held for the answer to the oldest attempt."""
+        return self._memory.grants(self.attempts[0].request.memory_urgency(), size_bytes)
+
+    def memory_refused(self) -> None:
+        """Discards the rest of a value; the beginning of a line is short, and read in any case."""
+        if self._awaited_bytes and self.attempts:
+            self.discard_value()
+            self.refuse_value()
+
+    def refuse_value(self) -> None:
+        """Ends the oldest attempt, whose value is discarded as it arrives."""
+        attempt = self._remove_answered_attempt()
+        self._discards_value = True
+        attempt.end(AttemptOutcome.SERVED, NoMemory())
+
     # A long value ---------------------------------------------------------------------------------
 
     def begin_stream(self, length: int) -> None:
         """Ends the oldest attempt with a long value, of which only the valid head has arrived."""
+        if not self._memory.grants(Urgency.SLOW, STREAM_READ_BYTES):
+            attempt = self._remove_answered_attempt()
+            self.drop(NodeCloseReason.NO_MEMORY)
+            attempt.end(AttemptOutcome.SERVED, NoMemory())
+            return
         attempt = self._remove_answered_attempt()
         stream = self.stream = StreamedValue(
             length, self.hold, self.release, lambda: self.drop(NodeCloseReason.VALUE_DROPPED)
         )
         self.last_stream_data_ms = self._pool.now()
-        self.transport.bufferSize = STREAM_READ_BYTES
+        self.transport.bufferSize = self._memory.read_bytes(LEAST_READ_BYTES, STREAM_READ_BYTES)
         self.expect_pieces(length)
         self.hold()  # Reading continues once the earlier answers to the same client have been sent.
         attempt.end(AttemptOutcome.SERVED, stream)
@@ -230,7 +256,12 @@
             stream.cancel()
 
     def pieceReceived(self, data: bytes) -> None:
-        """Passes on a piece of a long value."""
+        """Passes on a piece of a long value, or drops it."""
+        if self._discards_value:
+            if not self._streamed_bytes_left:
+                self._discards_value = False
+                self._answer_complete()
+            return
         self.last_stream_data_ms = self._pool.now()
         assert self.stream is not None  # Pieces are expected only while a long value arrives.
         self.stream.receive(data)
@@ -249,7 +280,6 @@
         """Completes a long value that has arrived whole, with a valid end."""
         stream, self.stream = self.stream, None
         assert stream is not None
-        del self.transport.bufferSize  # The default of the class applies again.
         stream.complete()
         if not self.ended:
             self._answer_complete(has_id)
--- a/cloverwell/back/origin_connection.py
+++ b/cloverwell/back/origin_connection.py
@@ -14,7 +14,8 @@
 from cloverwell.codec.http import HttpReceiver, encode_request
 from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.facade import AttemptOutcome
-from cloverwell.request import Attempt
+from cloverwell.memory_budget import MemoryAccount
+from cloverwell.request import Attempt, NoMemory
 from cloverwell.streamed_value import MAX_STREAMED_VALUE_BYTES, STREAMING_THRESHOLD_BYTES
 
 RECEIPT = re.compile(rb"[!-~]{1,250}")  # A receipt is sent to the client as a flag: one word without spaces.
@@ -26,6 +27,7 @@
     def __init__(self, pool: Pool, open_started_ms: float) -> None:
         """Starts without an attempt; `pool` began to open the connection at `open_started_ms`."""
         NodeConnection.__init__(self, pool, open_started_ms)
+        self._body_account = MemoryAccount(self._memory, self.incoming_use)
         self._reset()
 
     def encode_command(self, attempt: Attempt) -> bytes:
@@ -65,6 +67,14 @@
             self._reset()
             self.end_stream(has_id=False)
 
+    def memory_refused(self) -> None:
+        """Gives up a read whose value has no memory. A write's receipt is short, and read in any case."""
+        if not self.attempts or self.attempts[0].request.is_write:
+            return
+        attempt = self.attempts.popleft()
+        self.drop(NodeCloseReason.NO_MEMORY)
+        attempt.end(AttemptOutcome.SERVED, NoMemory())
+
     def answer_received(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Ends the attempt with an answer. Raises `MalformedMessageError` for an unknown or unwanted one."""
         self._check(headers)
--- a/cloverwell/back/pool.py
+++ b/cloverwell/back/pool.py
@@ -40,9 +40,8 @@
         self.address: tuple[str, int] | None = None
         self.log = context.log
         self.now = context.timer_wheel.now
-        self.call_at = (
-            context.timer_wheel.call_not_before
-        )  # calls a function at a time, or up to a tick later
+        self.memory = context.memory
+        self.call_at = context.timer_wheel.call_not_before  # may call up to a tick later
         self.tick_ms = context.timer_wheel.granularity_ms
         self.connections: list[NodeConnection] = []
         self.has_left = False  # whether the node drains, or is no longer in the endpoint list
--- a/cloverwell/back/pool_context.py
+++ b/cloverwell/back/pool_context.py
@@ -13,6 +13,7 @@
 from cloverwell.connections.metrics import ConnectionMetrics
 from cloverwell.connections.node_policy import NodeConnectionPolicy
 from cloverwell.log import Log
+from cloverwell.memory_budget import MemoryBudget
 from cloverwell.timer_wheel import TimerWheel
 
 
@@ -33,6 +34,7 @@
     timer_wheel: TimerWheel
     log: Log
     budget: DescriptorBudget
+    memory: MemoryBudget
     node_policy: NodeConnectionPolicy
     metrics: ConnectionMetrics
     max_attempts_per_connection: int  # the most attempts in flight on one connection
--- a/cloverwell/back/pools.py
+++ b/cloverwell/back/pools.py
@@ -13,6 +13,7 @@
 from cloverwell.connections.node_policy import NodeConnectionPolicy
 from cloverwell.connections.schedule import Schedule
 from cloverwell.log import Log
+from cloverwell.memory_budget import MemoryBudget, unlimited_memory
 from cloverwell.timer_wheel import TimerWheel
 
 SWEEP_MS = 50.0  # the time between two sweeps of the pools
@@ -36,14 +37,16 @@
         max_attempts_per_connection: int,
         connect_timeout_ms: float,
         single_attempt_in_flight: bool = False,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Starts the periodic sweeps.
 
         `build` creates a connection from its pool and the time at which the pool began to open it.
         `max_attempts_per_connection` is the most that one connection carries at a time. With
         `single_attempt_in_flight`, an attempt that the proxy closes counts as in flight until the close can
-        have reached its node.
+        have reached its node. `memory` is the process's budget, if any.
         """
+        self.memory = memory or unlimited_memory()
         self.reactor = reactor
         self.timer_wheel = timer_wheel
         self.log = log
--- a/cloverwell/codec/http.py
+++ b/cloverwell/codec/http.py
@@ -7,7 +7,8 @@
 from twisted.python.failure import Failure
 
 from cloverwell.codec.errors import MalformedMessageError
-from cloverwell.codec.lines import MAX_VALUE_BYTES, RingLineReceiver
+from cloverwell.codec.lines import MAX_VALUE_BYTES, BufferedLineReceiver
+from cloverwell.memory_budget import MemoryAccount, MemoryBudget
 
 MAX_HEADER_LINES = 64
 
@@ -23,7 +24,7 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
 
 
-class HttpReceiver(RingLineReceiver):
+class HttpReceiver(BufferedLineReceiver):
     """Calls `answer_received` once for each complete answer.
 
     The end of a body is given by its length, by the last chunk, or by the close of the connection if the
@@ -32,9 +33,10 @@
 
     max_body_bytes = MAX_VALUE_BYTES
 
-    def __init__(self) -> None:
-        """Starts in the state before the first answer."""
-        super().__init__()
+    def __init__(self, memory: MemoryBudget | None = None) -> None:
+        """Starts in the state before the first answer; `memory` is the process's budget, if any."""
+        super().__init__(memory)
+        self._body_account = MemoryAccount(self._memory, self.incoming_use)
         self._reset()
 
     def _reset(self) -> None:
@@ -42,6 +44,7 @@
         self._status = 0
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
+        self._body_account.hold(0)
         self._received_bytes = self._header_lines = 0  # the bytes of the body and lines of the head
         self._chunked = self._in_trailer = False
         self._until_close = False
@@ -111,10 +114,16 @@
         if not self._until_close:
             super().pieceReceived(data)
             return
-        self._received_bytes += len(data)
+        self._collect(data)
         if self._received_bytes > self.max_body_bytes:
             raise MalformedMessageError("body too long")
+
+    def _collect(self, data: bytes) -> None:
         self._body.append(data)
+        self._received_bytes += len(data)
+        self._body_account.hold(self._received_bytes)
+        if not self._memory.grants(self.incoming_urgency):
+            self.memory_refused()
 
     def ends_body(self, reason: Failure) -> bool:
         """Returns whether this close of the connection completes a body; a reset does not."""
@@ -128,6 +137,7 @@
             except MalformedMessageError as error:
                 self.framingLost(str(error))
         super().connectionLost(reason)
+        self._body_account.hold(0)
 
     def _expect_more(self) -> None:
         """Expects the next part of the body, or completes the answer.
@@ -159,8 +169,9 @@
 
     def valueReceived(self, data: bytes) -> None:
         """Collects a part of a body, and expects the next one."""
-        self._body.append(data)
-        self._received_bytes += len(data)
+        self._collect(data)
+        if self.ended:
+            return
         if self._body_bytes_left or not self._chunked:
             self._expect_more()
 
--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -1,116 +1,44 @@
-"""A line receiver with two ring buffers, one for incoming and one for outgoing bytes.
-
-The functions ask the kernel about a socket directly, without waiting for the event loop.
-"""
+"""A line receiver with two bounded queues, one for incoming and one for outgoing bytes."""
 
 from __future__ import annotations
 
-import fcntl
-import select
-import socket
-import struct
-import termios
-from collections.abc import Iterable
-
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from cloverwell.codec.byte_queue import ByteQueue
 from cloverwell.codec.delivery import Delivery
 from cloverwell.codec.errors import MalformedMessageError
 from cloverwell.codec.line_allowance import unlimited_allowance
-from cloverwell.codec.ring_buffer import RingBuffer
+from cloverwell.codec.socket_state import unacknowledged_bytes
 from cloverwell.codec.steady_socket import install_steady_socket
 from cloverwell.codec.transport import StreamTransport
+from cloverwell.memory_budget import (
+    CONNECTION_BYTES,
+    MemoryAccount,
+    MemoryBudget,
+    MemoryUse,
+    Urgency,
+    unlimited_memory,
+)
 
 MAX_LINE_BYTES = 2048
 MAX_VALUE_BYTES = 1024 * 1024  # the longest value that is buffered until it is complete
 MAX_WRITE_BYTES = 64 * 1024  # the longest value in a client's write command
-PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
-PIECE_BYTES = 64 * 1024  # the most bytes that are written to the transport, or discarded, at once
-LAST_DATA_RECEIVED_OFFSET = 52  # the offset of `tcpi_last_data_recv` in Linux's `tcp_info`, in bytes
-MAX_DISCARD_READS = 16  # the most reads, of `PIECE_BYTES` each, that discard unread data
-POLL_TRIES = 3  # the number of tries of a poll that fails because the kernel is short of memory
-
-
-def closed_by_peer(handles: Iterable[socket.socket | int]) -> set[int]:
-    """Returns the descriptors that the other side has closed or reset, even if there are unread bytes.
-
-    One call polls all of them: 0.1 ms for 200 descriptors, against 0.3 ms with a call for each.
-    """
-    poll = select.poll()
-    for handle in handles:
-        poll.register(handle, select.POLLRDHUP)
-    found = _poll_now(poll)
-    # If the poll failed, no descriptor is returned; the caller finds the closed ones by its next call.
-    return {descriptor for descriptor, _ in found or ()}
-
-
-def is_readable(handle: socket.socket | int) -> bool:
-    """Returns whether data can be read, or a connection accepted, at once; True if the kernel can't tell."""
-    poll = select.poll()
-    poll.register(handle, select.POLLIN)
-    return _poll_now(poll) != []
-
-
-def _poll_now(poll: select.poll) -> list[tuple[int, int]] | None:
-    """Returns the descriptors and events that are ready now, or None if the kernel could not poll."""
-    for _ in range(POLL_TRIES):
-        try:
-            return poll.poll(0)
-        except OSError:  # The kernel is short of memory.
-            continue
-    return None
-
-
-def read_now(handle: socket.socket, size: int) -> bytes:
-    """Returns at most `size` bytes that a non-blocking socket can read at once; b"" after an error."""
-    try:
-        return handle.recv(size)
-    except OSError:
-        return b""
-
-
-def discard_unread(handle: socket.socket) -> None:
-    """Reads and drops unread data, up to a bound.
-
-    The kernel resets a connection that is closed while data is unread.
-    """
-    for _ in range(MAX_DISCARD_READS):
-        if not read_now(handle, PIECE_BYTES):
-            return
-
-
-def received_ago_ms(handle: socket.socket) -> float:
-    """Returns the ms since bytes last arrived, whether they were read or not; 0 if the kernel can't tell."""
-    try:
-        info = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED_OFFSET + 4)
-        (ago_ms,) = struct.unpack_from("I", info, LAST_DATA_RECEIVED_OFFSET)
-    except (OSError, struct.error):
-        return 0.0
-    return float(ago_ms)
-
-
-def unacknowledged_bytes(handle: socket.socket | int) -> int:
-    """Returns the number of sent bytes that the peer has not acknowledged; 0 if the kernel can't tell."""
-    try:
-        answer = fcntl.ioctl(handle, termios.TIOCOUTQ, struct.pack("i", 0))
-    except (OSError, ValueError, TypeError):  # A transport in memory has no descriptor.
-        return 0
-    (unacknowledged,) = struct.unpack("i", answer)
-    return int(unacknowledged)
+PIECE_BYTES = 64 * 1024  # the most bytes that are written to the transport at once
 
 
 @implementer(IPullProducer)
-class RingLineReceiver(LineReceiver):
+class BufferedLineReceiver(LineReceiver):
     """Cuts incoming bytes into lines, whole values and pieces of long values, and sends outgoing bytes.
 
     A subclass gets each line by `lineReceived` and each whole value by `valueReceived`. Complete messages are
-    cut from the data as it was read; an incomplete one stays in the bounded ring of incoming bytes. Outgoing
-    bytes are written to the socket at once; those that it does not take are buffered in the ring of outgoing
-    bytes, whose size bounds what is buffered for a slow reader.
+    cut from the data as it was read; an incomplete one stays in the bounded queue of incoming bytes. Outgoing
+    bytes are written to the socket at once; those that it does not take are buffered in the queue of outgoing
+    bytes, whose bound is the most that is buffered for a slow reader. All of it is drawn from the process's
+    budget of memory. A subclass gives up an incomplete message in `memory_refused`.
     """
 
     transport: StreamTransport  # type: ignore[assignment]  # Twisted declares only some of its methods.
@@ -119,15 +47,20 @@
     MAX_LENGTH = MAX_LINE_BYTES
     max_incoming_bytes = max_outgoing_bytes = MAX_VALUE_BYTES + 2 * MAX_LINE_BYTES
     piece_bytes = PIECE_BYTES
+    incoming_use = MemoryUse.NODE_ANSWERS
+    outgoing_use = MemoryUse.ATTEMPTS
     allowance = unlimited_allowance()  # limits the lines that are passed on; a subclass may set its own
 
-    def __init__(self) -> None:
-        """Starts with two empty rings, before the first line."""
-        self._incoming = RingBuffer(self.max_incoming_bytes)
-        self._outgoing = RingBuffer(self.max_outgoing_bytes)
+    def __init__(self, memory: MemoryBudget | None = None) -> None:
+        """Starts with two empty queues, before the first line; `memory` is the process's budget, if any."""
+        self._memory = memory or unlimited_memory()
+        self._incoming = ByteQueue(self.max_incoming_bytes, MemoryAccount(self._memory, self.incoming_use))
+        self._outgoing = ByteQueue(self.max_outgoing_bytes, MemoryAccount(self._memory, self.outgoing_use))
+        self._transport_account = MemoryAccount(self._memory, self.outgoing_use)
+        self._connection_account = MemoryAccount(self._memory, MemoryUse.CONNECTIONS)
         self._awaited_bytes = 0  # the size of the value that comes next, with its line end; 0 before a line
         self._streamed_bytes_left = 0  # the number of bytes of a long value that have not arrived
-        self._unbuffered_bytes = 0  # the number of bytes read from the socket that are not in the ring yet
+        self._unbuffered_bytes = 0  # the number of bytes read from the socket that are not in the queue yet
         self.unparsed_bytes = 0  # the number of bytes after the message that is being handled
         self._held = False  # whether `hold` has paused the reading
         self._writing = False  # whether the transport has bytes that it has not sent yet
@@ -142,6 +75,18 @@
         self.transport.setTcpNoDelay(True)
         self._socket = install_steady_socket(self.transport)
         self.transport.registerProducer(self, False)
+        self._connection_account.hold(CONNECTION_BYTES)
+
+    @property
+    def is_mid_message(self) -> bool:
+        """Whether a message has come in part."""
+        return bool(len(self._incoming) or self._awaited_bytes or self._streamed_bytes_left)
+
+    @property
+    def held_bytes(self) -> int:
+        """The memory that is held for this connection, besides the connection itself."""
+        queued_bytes = self._incoming.allocated_bytes + self._outgoing.allocated_bytes
+        return queued_bytes + self._transport_account.held_bytes
 
     def fileno(self) -> int:
         """Returns the descriptor of the connection's socket."""
@@ -163,9 +108,34 @@
             data = data[written_count:]
             self._unbuffered_bytes = len(data)
             self.parse()
+            if len(self._incoming) and not self._held and not self._memory.grants(self.incoming_urgency):
+                data = self._give_up_message(data)
+
+    @property
+    def incoming_urgency(self) -> Urgency:
+        """How urgent the memory for an incomplete message is."""
+        return Urgency.PROMPT
+
+    def _give_up_message(self, data: bytes) -> bytes:
+        """Gives up the incomplete message at the beginning of `data`; returns the bytes behind it."""
+        self.memory_refused()
+        return b"" if self.ended or self._broken else self._parse_messages(data)
+
+    def memory_refused(self) -> None:
+        """Is called when there is no memory for more of an incomplete message.
+
+        It has to call `discard_value` if a value is incomplete, or to end the connection.
+        """
+        raise NotImplementedError
+
+    def discard_value(self) -> None:
+        """Drops what has come of the incomplete value; the rest of it goes to `pieceReceived` as it comes."""
+        self._streamed_bytes_left = self._awaited_bytes - len(self._incoming)
+        self._awaited_bytes = 0
+        self._incoming.clear()
 
     def parse(self) -> None:
-        """Passes on the complete messages in the ring, until there is none or the subclass calls `hold`."""
+        """Passes on the complete messages in the queue, until there is none or the subclass calls `hold`."""
         if (
             self._parsing
             or self._held
@@ -318,10 +288,13 @@
 
     def _write_next_piece(self) -> None:
         self._writing = bool(len(self._outgoing))
-        if self._writing:
-            piece = self._outgoing.read(self.piece_bytes)
-            self._transport_bytes = len(piece)
-            self.transport.write(piece)
+        if not self._writing:
+            self._transport_account.hold(0)
+            return
+        piece = self._outgoing.read(self.piece_bytes)
+        self._transport_bytes = len(piece)
+        self._transport_account.hold(len(piece))
+        self.transport.write(piece)
 
     def delivery(self) -> Delivery:
         """Returns what has become of the bytes that `try_write` has accepted.
@@ -348,7 +321,7 @@
         """Is called when the connection is lost; does nothing, since `connectionLost` is called as well."""
 
     def roomMade(self) -> None:
-        """Is called when the transport has sent what it had, so that the outgoing ring has room again."""
+        """Is called when the transport has sent what it had, so that the outgoing queue has room again."""
 
     def end(self, abort: bool = False, half_close: bool = False) -> None:
         """Closes the connection once all that was written has been sent.
@@ -363,7 +336,9 @@
             self.transport.abortConnection()
             return
         if len(self._outgoing):
-            self.transport.write(self._outgoing.read(len(self._outgoing)))
+            rest = self._outgoing.read(len(self._outgoing))
+            self._transport_account.hold(self._transport_account.held_bytes + len(rest))
+            self.transport.write(rest)
         self.transport.unregisterProducer()
         if half_close:
             self.transport.loseWriteConnection()
@@ -371,5 +346,9 @@
             self.transport.loseConnection()
 
     def connectionLost(self, _reason: Failure = connectionDone) -> None:
-        """Marks the connection as ended when it has been closed or lost."""
+        """Marks the connection as ended when it has been closed or lost, and frees its buffers."""
         self.ended = True
+        self._incoming.clear()
+        self._outgoing.clear()
+        self._transport_account.hold(0)
+        self._connection_account.hold(0)
--- a/cloverwell/connections/client_policy.py
+++ b/cloverwell/connections/client_policy.py
@@ -332,13 +332,18 @@
             old.sort(key=lambda client: -count_by_source[self.states.by_client[client].source])
         return [CloseClient(client, CloseReason.SILENT, abort) for client in old[:limit]]
 
-    def _choose_stalled_partial_commands(self, now: float, limit: int) -> list[CloseClient[ClientT]]:
+    def stalled_partial_commands(self, now: float, stalled_ms: float) -> list[ClientT]:
+        """Return the clients of whose partial commands nothing has come for so long, the longest first."""
         # The time of the last bytes counts too: by age alone, a client that writes slowly would be closed
         # before its command is complete.
-        old = self.states.older_than(self.states.partial, now, PARTIAL_COMMAND_GRACE_MS)
+        old = self.states.older_than(self.states.partial, now, stalled_ms)
         last_bytes_ms = {client: self.states.by_client[client].last_bytes_ms for client in old}
-        stalled = [client for client in old if now - last_bytes_ms[client] >= PARTIAL_COMMAND_GRACE_MS]
+        stalled = [client for client in old if now - last_bytes_ms[client] >= stalled_ms]
         stalled.sort(key=last_bytes_ms.__getitem__)
+        return stalled
+
+    def _choose_stalled_partial_commands(self, now: float, limit: int) -> list[CloseClient[ClientT]]:
+        stalled = self.stalled_partial_commands(now, PARTIAL_COMMAND_GRACE_MS)
         return [CloseClient(client, CloseReason.PARTIAL_COMMAND) for client in stalled[:limit]]
 
     def _choose_idle(self, now: float, limit: int, abort: bool) -> list[CloseClient[ClientT]]:
--- a/cloverwell/connections/close_reason.py
+++ b/cloverwell/connections/close_reason.py
@@ -13,6 +13,7 @@
     NOT_READING = "not_reading"  # The client has read nothing for too long, and no more can be sent.
     MAKE_ROOM = "room"  # The client is idle, and the descriptor is needed for another connection.
     DRAIN = "drain"  # The process is drained, or stops.
+    NO_MEMORY = "no_memory"  # There is no memory for the rest of the client's command.
     MALFORMED = "malformed"  # The bytes can't be divided into commands, or too many commands were malformed.
     BROKEN_VALUE = "broken_value"  # The long value that was being sent ended before its declared length.
     NOT_SENT = "not_sent"  # A piece of a long value could not be sent.
@@ -31,6 +32,7 @@
     LAST_ANSWER = "last_answer"  # The node said that it closes, or an abandoned attempt was queued behind.
     UNUSABLE = "unusable"  # The node had closed the idle connection, or sent data with no attempt on it.
     TOO_LATE_TO_WRITE = "too_late"  # It has become too late to write the last byte of a command.
+    NO_MEMORY = "no_memory"  # There is no memory for the value that is arriving.
     VALUE_DROPPED = "value_dropped"  # A long value arrives that no client waits for any more.
     BY_NODE = "by_node"  # The node closed or reset the connection, with no attempt on it.
     BY_NODE_MID_ATTEMPT = "reset"  # The node closed or reset the connection, with attempts on it.
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -17,8 +17,8 @@
 from cloverwell.counters import Counters
 from cloverwell.facade import AttemptOutcome, Facade
 from cloverwell.log import Log
-from cloverwell.request import Attempt, Failed, Rejected, Request, Served
-from cloverwell.streamed_value import StreamedValue
+from cloverwell.memory_budget import REQUEST_BYTES, MemoryUse
+from cloverwell.request import Attempt, AttemptBody, Failed, NoMemory, Rejected, Request, Served
 from cloverwell.timer_wheel import TimerWheel
 
 # The dispatcher fails a request that is still open this long before its client gives up. The balancer ends
@@ -43,6 +43,7 @@
         self._facade = facade
         self._timer_wheel = timer_wheel
         self._pools = pools
+        self._memory = pools.memory
         self._log = log
         self._counters = counts
         self._open: dict[str, Request] = {}  # by request id
@@ -68,6 +69,10 @@
         request.time_left_ms -= CLIENT_ROUND_TRIP_MS
         request.time_left_ms = min(request.time_left_ms, self._answer_all_by_ms - now)
         request.deadline_ms = now + request.time_left_ms
+        size_bytes = REQUEST_BYTES + len(request.value)
+        if not self._memory.grants(request.memory_urgency(), size_bytes):
+            self.reject_for_memory(request)
+            return
         if request.id in self._open:
             # No two open requests may share an id: their answers would be mixed up.
             self._record_failure(request, "twice")
@@ -75,10 +80,12 @@
             return
         max_open = self._facade.settings.max_open_requests
         if max_open and len(self._open) >= max_open:
-            self.record_rejection(request, "open")
+            self.record_rejection(request.id, "open")
             request.complete(Rejected(self._facade.settings.max_retry_after_ms))
             return
         self._open[request.id] = request
+        request.held_bytes = size_bytes
+        self._memory.change(MemoryUse.REQUESTS, size_bytes)
         request.deadline_timer = self._timer_wheel.call_by(
             request.deadline_ms - DEADLINE_MARGIN_MS, lambda: self._fail_at_deadline(request)
         )
@@ -191,7 +198,7 @@
             case balancer_facade.SendAttempt():
                 self._start_attempt(decision, request)
             case balancer_facade.RejectRequest(_, retry_after_ms, reason):
-                self.record_rejection(request, reason)
+                self.record_rejection(request.id, reason)
                 request.complete(Rejected(retry_after_ms))
                 self._forget_if_done(request)
             case balancer_facade.FailRequest(_, reason):
@@ -199,10 +206,15 @@
                 request.complete(Failed())
                 self._forget_if_done(request)
 
-    def record_rejection(self, request: Request, reason: str) -> None:
+    def reject_for_memory(self, request: Request) -> None:
+        """Rejects a request at once, since there is no memory for it or its answer."""
+        self.record_rejection(request.id, "memory")
+        request.complete(Rejected(self._facade.settings.max_retry_after_ms))
+
+    def record_rejection(self, request_id: str, reason: str) -> None:
         """Logs and counts a rejected request, also one that the clients' side rejects by itself."""
         self._counters.add(f"refused.{reason}")
-        self._log.info("refused", f"request {request.id}: {reason}")
+        self._log.info("refused", f"request {request_id}: {reason}")
 
     def _record_failure(self, request: Request, reason: str) -> None:
         self._counters.add(f"failed.{reason}")
@@ -271,7 +283,7 @@
     def _time_out(self, attempt: Attempt) -> None:
         attempt.pool.give_up(attempt, AttemptOutcome.TIMED_OUT)
 
-    def _attempt_ended(self, attempt: Attempt, outcome: AttemptOutcome, body: bytes | StreamedValue) -> None:
+    def _attempt_ended(self, attempt: Attempt, outcome: AttemptOutcome, body: AttemptBody) -> None:
         request = attempt.request
         self._timer_wheel.work.attempts_ended += 1
         self._counters.add(f"{attempt.pool.kind}.{outcome.value.value}")
@@ -281,7 +293,9 @@
         if outcome not in balancer_facade.NEVER_RAN and attempt.written_ms is not None:
             from_ms = attempt.written_earliest_ms
             request.first_possible_run_ms = min(request.first_possible_run_ms or from_ms, from_ms)
-        if outcome is AttemptOutcome.SERVED:
+        if isinstance(body, NoMemory):
+            self.reject_for_memory(request)
+        elif outcome is AttemptOutcome.SERVED:
             request.complete(Served(body))
         decision = self._facade.report(attempt.decision, outcome, request.is_over)
         if outcome is AttemptOutcome.NOT_SENT:
@@ -360,4 +374,6 @@
     def _forget_if_done(self, request: Request) -> None:
         if not request.is_over or request.attempts:
             return
-        self._open.pop(request.id, None)
+        if self._open.pop(request.id, None) is None:
+            return
+        self._memory.change(MemoryUse.REQUESTS, -request.held_bytes)
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -9,16 +9,17 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from cloverwell.codec.lines import discard_unread, read_now, received_ago_ms
 from cloverwell.codec.meta import CommandFields
+from cloverwell.codec.socket_state import discard_unread, read_now, received_ago_ms
 from cloverwell.codec.transport import close_both_sides
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.closing import ClosingState
 from cloverwell.front.client_reader import ClientReader
 from cloverwell.front.connection_owner import ConnectionOwner
-from cloverwell.front.meta_answers import BUSY, DRAINING, SERVING, encode_answer, encode_error
+from cloverwell.front.meta_answers import BUSY, DRAINING, SERVING, encode_answer, encode_busy, encode_error
 from cloverwell.front.pending_response import PendingResponse
 from cloverwell.front.response_queue import ResponseQueue
+from cloverwell.memory_budget import Urgency
 from cloverwell.request import FinalAnswer, Rejected, Request, Served
 from cloverwell.streamed_value import StreamedValue
 
@@ -75,6 +76,7 @@
             value=value,
             info=fields.info,
             on_answer=partial(self._respond, response),
+            memory_urgency=self._response_urgency,
         )
         self._malformed_count = 0
         self._responses.pending.append(response)
@@ -103,8 +105,30 @@
         self.set_close_reason(CloseReason.MALFORMED)
         self._send_final_line(encode_error(reason))
 
+    def reject_write(self, fields: CommandFields) -> None:
+        """Reject a write at once whose value there is no memory for."""
+        self._malformed_count = 0
+        self._owner.dispatcher.record_rejection(fields.id, "memory")
+        self._send_line(encode_busy(self._owner.retry_after_ms))
+
+    def reject_half_line(self) -> None:
+        """Reject the beginning of a command that there is no memory for, and close the connection."""
+        self.set_close_reason(CloseReason.NO_MEMORY)
+        self._send_final_line(BUSY)
+
+    def give_up_partial_command(self) -> bool:
+        """Free the memory of a partial command; return False if it holds none."""
+        if not len(self._incoming) or self._held or self.ended or self._broken:
+            return False
+        self.memory_refused()
+        return True
+
     # Responses ----------------------------------------------------------------------------------
 
+    def _response_urgency(self) -> Urgency:
+        """Return how urgent the memory for another response is."""
+        return Urgency.SLOW if self._writing else Urgency.PROMPT
+
     def _respond(self, response: PendingResponse, request: Request, answer: FinalAnswer) -> None:
         """Store a request's final answer as its response, and send what can be sent."""
         self._last_answered_id = request.id
@@ -114,10 +138,14 @@
             response.stream = answer.body
             response.stream.has_sink = True
         self.send_responses()
+        if response.data is not None:
+            self._responses.hold_unsent(response)
 
     def _send_line(self, data: bytes) -> None:
-        self._responses.pending.append(PendingResponse(data))
+        response = PendingResponse(data)
+        self._responses.pending.append(response)
         self.send_responses()
+        self._responses.hold_unsent(response)
 
     def _send_final_line(self, data: bytes) -> None:
         self._broken = True
@@ -165,6 +193,11 @@
             f"{found.acknowledged_bytes} acknowledged, {last_answer}"
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that is held for this client, besides the connection and its open requests."""
+        return super().held_bytes + self._responses.held_bytes
+
     @property
     def unsent_bytes(self) -> int:
         """Return the number of bytes in the outgoing buffer."""
@@ -180,7 +213,7 @@
     @property
     def is_between_requests(self) -> bool:
         """Return whether no response is pending, and no part of a command has come."""
-        return not self._responses.pending and not len(self._incoming) and not self._awaited_bytes
+        return not self._responses.pending and not self.is_mid_message
 
     @property
     def has_partial_command(self) -> bool:
@@ -335,4 +368,5 @@
         super().connectionLost(reason)
         if self._responses.pending:
             self._owner.clients_disconnected([self])
+        self._responses.free_memory()
         self._owner.connection_closed(self)
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -25,8 +25,10 @@
 from cloverwell.front.connection_report import describe_open_connections
 from cloverwell.front.delivery_monitor import DeliveryMonitor
 from cloverwell.front.disconnect_detector import DisconnectDetector
-from cloverwell.front.port import BoundedFactory
+from cloverwell.front.memory_relief import MemoryRelief
+from cloverwell.front.port import BoundedFactory, ClientTransport
 from cloverwell.log import Log
+from cloverwell.memory_budget import CONNECTION_BYTES, MemoryBudget, Urgency
 from cloverwell.request import Request
 from cloverwell.serving import Serving
 from cloverwell.streamed_value import read_ahead_bytes
@@ -40,6 +42,9 @@
 # The retry delay that is sent with a rejection, unless the settings have a lower maximum. Where that maximum
 # is 0, no delay is sent.
 RETRY_AFTER_MS = 1000.0
+# The share of the budget of memory for buffers of streamed values, whose clients may read more slowly than
+# the values arrive.
+STREAMS_SHARE = 0.2
 
 
 class ListeningPort(Protocol):
@@ -60,7 +65,9 @@
 
 
 class ClientConnections(BoundedFactory):
-    """Accepts clients within the descriptor budget, and owns their connections (see `ConnectionOwner`)."""
+    """Accepts clients within both budgets, and owns their connections (see `ConnectionOwner`)."""
+
+    transport_class = ClientTransport
 
     def __init__(
         self,
@@ -72,7 +79,7 @@
         metrics: ConnectionMetrics,
         max_requesting: int,
         serving: Serving,
-        stream_bytes: int,
+        memory: MemoryBudget,
     ) -> None:
         """Set up without connections, and start the periodic checks.
 
@@ -85,10 +92,10 @@
             metrics: counts what connections do.
             max_requesting: the most connections on which clients may send requests.
             serving: the serving state of this process.
-            stream_bytes: the most bytes that may be buffered of all streamed values together.
+            memory: the process's budget of memory.
         """
         self.stream_count = 0
-        self._stream_bytes = stream_bytes
+        self.memory = memory
         self.port: ListeningPort | None = None
         self.dispatcher = dispatcher
         self.serving = serving
@@ -110,6 +117,7 @@
         self._delivery_monitor = DeliveryMonitor(self.policy, log)
         self.drainer = ConnectionDrainer(self.connections, serving, dispatcher, timer_wheel)
         self._closer = ClientCloser(self.policy, metrics, timer_wheel, self.drainer)
+        self._relief = MemoryRelief(memory, self.policy, self._closer)
         self._queue = AcceptQueue(BACKLOG + 1)  # Linux lets one more connection wait than the backlog.
         self.request_descriptor: Callable[[], object] = lambda: None  # asks the nodes' side to free one
         timer_wheel.on_stall = self._check_after_stall
@@ -120,7 +128,12 @@
 
     def accept_limit(self) -> int:
         """Return how many connections may be accepted in this iteration of the event loop."""
-        return min(MAX_ACCEPTS_PER_ITERATION, self._budget.available(DescriptorSide.CLIENTS))
+        return min(MAX_ACCEPTS_PER_ITERATION, self._available())
+
+    def _available(self) -> int:
+        """Return for how many more connections there are descriptors and memory."""
+        by_memory = self.memory.room(Urgency.PROMPT) / CONNECTION_BYTES
+        return int(max(0, min(self._budget.available(DescriptorSide.CLIENTS), by_memory)))
 
     def buildProtocol(self, addr: IAddress | None) -> ClientConnection | None:
         """Make the protocol of a new connection; None, which closes it, if the budget has no descriptor."""
@@ -172,7 +185,7 @@
             self.port.pauseProducing()
 
     def _resume_accepting(self) -> None:
-        if self._accepting_paused and self._budget.available(DescriptorSide.CLIENTS):
+        if self._accepting_paused and self._available():
             self._accepting_paused = False
             self._log.info("accept", "accepting client connections again")
             if self.port is not None:
@@ -231,17 +244,17 @@
         Without the second limit descriptors would run out, and accepts that fail would lose requests.
         """
         if self.drainer.rejects_requests:
-            self.dispatcher.record_rejection(request, "ending")
+            self.dispatcher.record_rejection(request.id, "ending")
             return True
         if self.policy.states.active_count <= self._budget.max_active_clients:
             return False
         self._metrics.add(ConnectionEvent.REQUEST_REFUSED)
-        self.dispatcher.record_rejection(request, "descriptors")
+        self.dispatcher.record_rejection(request.id, "descriptors")
         return True
 
     def stream_buffer_bytes(self) -> int:
         """Return how many bytes of one streamed value may be buffered for a client that reads slowly."""
-        return read_ahead_bytes(self._stream_bytes, self.stream_count)
+        return read_ahead_bytes(STREAMS_SHARE * self.memory.total_bytes, self.stream_count)
 
     # Disconnected clients -------------------------------------------------------------------------
 
@@ -285,6 +298,7 @@
         self._delivery_monitor.check(now)
         expired = self.policy.choose_expired(now)
         self._closer.close(expired, len(expired))
+        self._relief.check(now)
         self._reserve_descriptors()
         self._resume_accepting()
         self._check_accept_queue()
@@ -296,18 +310,19 @@
             self._delivery_monitor.observe_idle(now, RESPONSE_DELIVERY_MS)
             connections_to_close = self.policy.choose_to_admit_requests(now)
             self._closer.close(connections_to_close, len(connections_to_close))
-        free_descriptors = self._budget.available(DescriptorSide.CLIENTS)
-        wanted = self.policy.reserve_count(now) - free_descriptors
+        available = self._available()
+        wanted = self.policy.reserve_count(now) - available
         if wanted > 0:
-            self._make_room(now, wanted, free_descriptors)
+            self._make_room(now, wanted, available)
         if not self._budget.available(DescriptorSide.CLIENTS) and self._budget.other_can_release(
             DescriptorSide.CLIENTS
         ):
             self.request_descriptor()
-        if not self._accepting_paused and not self._budget.available(DescriptorSide.CLIENTS):
+        if not self._accepting_paused and not self._available():
+            lacking = "memory" if self._budget.available(DescriptorSide.CLIENTS) else "descriptor"
             self._log.warn(
                 "accept",
-                f"{len(self.connections)} client connections are open, no descriptor is left for more",
+                f"{len(self.connections)} client connections are open, no {lacking} is left for more",
             )
             self._pause_accepting()
 
--- a/cloverwell/front/client_reader.py
+++ b/cloverwell/front/client_reader.py
@@ -4,15 +4,18 @@
 
 from typing import Any
 
-from cloverwell.codec.lines import PEEK_FLAGS, closed_by_peer
+from cloverwell.codec.socket_state import PEEK_FLAGS, closed_by_peer
 from cloverwell.codec.steady_socket import TryAgainError
 from cloverwell.front.command_receiver import CommandReceiver
 from cloverwell.front.connection_owner import ConnectionOwner
+from cloverwell.memory_budget import Urgency
 from cloverwell.timer_wheel import STALL_MS
 
 # Read at once from a client that sends more commands than it has handled in a turn: the rest of them waits in
 # the kernel rather than here. It is room for about 35 commands.
 BACKLOG_READ_BYTES = 2 * 1024
+MAX_READ_BYTES = 64 * 1024  # read at once from a client while there is memory
+PROMPT_COMMAND_MS = 300.0  # A command that has not come whole in this time comes slowly.
 DISCARD_PAUSE_MS = 5.0  # between two reads of input that is discarded because the connection is ending
 
 
@@ -23,7 +26,7 @@
 
     def __init__(self, owner: ConnectionOwner[Any], peer: str) -> None:
         """Set up the reader of a connection that has just been accepted; `peer` is the client's address."""
-        super().__init__(owner.classes, owner.tenants, owner.timer_wheel.work)
+        super().__init__(owner.classes, owner.tenants, owner.timer_wheel.work, owner.memory)
         self.peer = peer
         self._owner = owner
         self._throttled = False  # whether reading is paused for a fixed time, see `_throttle`
@@ -33,6 +36,19 @@
         self._awaits_turn = False  # whether commands wait until the scheduler calls `take_turn`
         self.allowance = owner.command_scheduler.allowance
 
+    @property
+    def read_bytes(self) -> int:
+        """Return how many bytes are read from the socket at once."""
+        if self._reads_little:
+            return BACKLOG_READ_BYTES
+        return self._memory.read_bytes(BACKLOG_READ_BYTES, MAX_READ_BYTES)
+
+    @property
+    def incoming_urgency(self) -> Urgency:
+        """Return how urgent the memory for a partial command is: the command may come at once, or not."""
+        age_ms = self._owner.timer_wheel.now() - self._arrival.first_byte_read_ms
+        return Urgency.PROMPT if age_ms < PROMPT_COMMAND_MS else Urgency.SLOW
+
     @property
     def has_partial_command(self) -> bool:
         """Return whether no response is pending, and a part of a command has come."""
@@ -65,14 +81,12 @@
             self._owner.clients_disconnected([self])
             return
         if not self._held:  # While reading is paused, these bytes follow others that are not handled yet.
-            begins_command = not (len(self._incoming) or self._awaited_bytes)
-            self._arrival.record_read(self._owner.timer_wheel.now(), begins_command, unread_delay_ms)
+            self._arrival.record_read(self._owner.timer_wheel.now(), not self.is_mid_message, unread_delay_ms)
             self._check_buffer_empty()
         commands_before = self._work.commands
         super().dataReceived(data)
         if self._reads_little and not self._awaits_turn:
             self._reads_little = False
-            del self.transport.bufferSize  # The default of the class applies again.
         self._commands_handled(commands_before)
 
     def _commands_handled(self, commands_before: int) -> None:
@@ -112,7 +126,6 @@
         """Have the commands that were read wait for this connection's turn."""
         self.hold()
         self._reads_little = True
-        self.transport.bufferSize = BACKLOG_READ_BYTES
         # A command that was read counts as open, so that its connection is not taken for an idle one.
         self._owner.request_started(self)
         self._await_turn(is_new=not has_passed_on_lines)
--- a/cloverwell/front/command_receiver.py
+++ b/cloverwell/front/command_receiver.py
@@ -4,14 +4,15 @@
 
 from collections.abc import Mapping
 
-from cloverwell.codec.lines import MAX_LINE_BYTES, MAX_WRITE_BYTES, RingLineReceiver
+from cloverwell.codec.lines import MAX_LINE_BYTES, MAX_WRITE_BYTES, BufferedLineReceiver
 from cloverwell.codec.meta import CommandError, CommandFields
 from cloverwell.connections.arrival import CommandArrival
 from cloverwell.front.meta_commands import LostFramingError, parse_get, parse_set, parse_value_length
 from cloverwell.loop_work import LoopWork
+from cloverwell.memory_budget import MemoryBudget, MemoryUse
 
 
-class CommandReceiver(RingLineReceiver):
+class CommandReceiver(BufferedLineReceiver):
     """Calls `request_received` for each complete request, and `probe_received` for each `mn`.
 
     A malformed command goes to `reject_command`, or to `reject_and_close` if it is not known where the next
@@ -19,20 +20,27 @@
     """
 
     max_incoming_bytes = MAX_WRITE_BYTES + 2 * MAX_LINE_BYTES
-
-    def __init__(self, classes: Mapping[str, int], tenants: Mapping[str, int], work: LoopWork) -> None:
-        """Set up the parser, which counts its commands in `work`.
+    incoming_use = MemoryUse.COMMANDS
+    outgoing_use = MemoryUse.RESPONSES
+
+    def __init__(
+        self,
+        classes: Mapping[str, int],
+        tenants: Mapping[str, int],
+        work: LoopWork,
+        memory: MemoryBudget | None = None,
+    ) -> None:
+        """Set up the parser, which counts its commands in `work`; `memory` is the process's budget, if any.
 
         `classes` and `tenants` map the names of classes and tenants to their numbers.
         """
-        super().__init__()
+        super().__init__(memory)
         self._work = work
         self._classes = classes
         self._tenants = tenants
         self._arrival = CommandArrival()
         self._pending_write: CommandFields | None = None  # a write whose value has not come yet
-        self._bytes_to_discard = 0  # how much of a malformed command's value is still to be discarded
-        self._discard_reason = ""  # why that command is rejected; empty while no value is discarded
+        self._discard_reason = ""  # why a command is rejected once its value has been discarded
 
     def request_received(self, fields: CommandFields, write: bool, value: bytes) -> None:
         """Handle a request; `value` is empty for a read."""
@@ -66,7 +74,7 @@
                 self._handle_set(words)
             case _:
                 self.reject_command("unknown command")
-        if not self._awaited_bytes:
+        if not self._awaited_bytes and not self._streamed_bytes_left:
             self._arrival.record_command_complete()
 
     def _handle_get(self, words: list[str]) -> None:
@@ -89,21 +97,38 @@
         except CommandError as error:
             # The length is known, so the value is discarded and parsing goes on after it.
             self._discard_reason = str(error)
-            self._bytes_to_discard = value_bytes
-            self._discard_value()
+            self.expect_pieces(value_bytes)
             return
         self.expect_value(value_bytes)
 
-    def _discard_value(self) -> None:
-        piece_bytes = min(self._bytes_to_discard, MAX_WRITE_BYTES)
-        self._bytes_to_discard -= piece_bytes
-        self.expect_value(piece_bytes)
+    def memory_refused(self) -> None:
+        """Reject the write whose value is incomplete and discard the rest of it, or end half a line."""
+        fields, self._pending_write = self._pending_write, None
+        if fields is None:
+            self.reject_half_line()
+        else:
+            self.discard_value()
+            self.reject_write(fields)
+
+    def reject_half_line(self) -> None:
+        """Handle the beginning of a line that there is no memory for."""
+        raise NotImplementedError
 
-    def valueReceived(self, data: bytes) -> None:
-        """Handle a command's value, or a piece of a value that is discarded."""
-        if self._discard_reason:
-            self._handle_discarded_piece()
+    def reject_write(self, fields: CommandFields) -> None:
+        """Handle a write that there is no memory for; its value is discarded."""
+        raise NotImplementedError
+
+    def pieceReceived(self, _data: bytes) -> None:
+        """Drop a piece of a value, and reject a malformed command behind the last one."""
+        if self._streamed_bytes_left:
             return
+        if self._discard_reason:
+            reason, self._discard_reason = self._discard_reason, ""
+            self.reject_command(reason)
+        self._arrival.record_command_complete()
+
+    def valueReceived(self, data: bytes) -> None:
+        """Handle a command's value."""
         fields, self._pending_write = self._pending_write, None
         assert fields is not None
         if not data.endswith(b"\r\n"):
@@ -112,13 +137,6 @@
         self.request_received(fields, True, data[:-2])
         self._arrival.record_command_complete()
 
-    def _handle_discarded_piece(self) -> None:
-        if self._bytes_to_discard:
-            self._discard_value()
-            return
-        reason, self._discard_reason = self._discard_reason, ""
-        self.reject_command(reason)
-
     def framingLost(self, reason: str) -> None:
         """Handle a line or value that is too long, after which the next command can't be found."""
         self.reject_and_close(reason)
--- a/cloverwell/front/connection_owner.py
+++ b/cloverwell/front/connection_owner.py
@@ -7,6 +7,7 @@
 from cloverwell.codec.line_allowance import LineAllowance
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.front.command_scheduler import CommandScheduler
+from cloverwell.memory_budget import MemoryBudget
 from cloverwell.request import Request
 from cloverwell.serving import Serving
 from cloverwell.timer_wheel import TimerWheel
@@ -37,6 +38,7 @@
         tenants: the number of each tenant by its name.
         paused_connections: the connections that are not read at the moment.
         retry_after_ms: the retry delay that is sent with a rejection; 0 sends none.
+        memory: the process's budget of memory.
         stream_count: the number of streamed values that are being sent.
         command_scheduler: gives the connections whose commands wait their turns.
         drainer: closes the connections while this process is drained or stops.
@@ -49,6 +51,7 @@
     tenants: dict[str, int]
     paused_connections: dict[ConnectionT, None]
     retry_after_ms: float
+    memory: MemoryBudget
     stream_count: int
     command_scheduler: CommandScheduler
 
--- a/cloverwell/front/disconnect_detector.py
+++ b/cloverwell/front/disconnect_detector.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from cloverwell.codec.lines import closed_by_peer
+from cloverwell.codec.socket_state import closed_by_peer
 from cloverwell.front.client_connection import ClientConnection
 from cloverwell.timer_wheel import STALL_MS, TimerWheel
 
--- a/cloverwell/front/meta_answers.py
+++ b/cloverwell/front/meta_answers.py
@@ -19,11 +19,16 @@
         case Served(bytes() as body):
             return f"VA {len(body)} O{request.id}\r\n".encode() + body + b"\r\n"
         case Rejected(retry_after_ms):
-            wait = f" {round(retry_after_ms)}" if retry_after_ms >= 1 else ""
-            return f"SERVER_ERROR busy{wait}\r\n".encode()
+            return encode_busy(retry_after_ms)
     return FAILED
 
 
+def encode_busy(retry_after_ms: float) -> bytes:
+    """Return the response to a rejected request; it names the retry delay unless that is 0."""
+    wait = f" {round(retry_after_ms)}" if retry_after_ms >= 1 else ""
+    return f"SERVER_ERROR busy{wait}\r\n".encode()
+
+
 def encode_error(reason: str) -> bytes:
     """Return the response to a malformed command."""
     return f"CLIENT_ERROR {reason}\r\n".encode()
--- a/cloverwell/front/port.py
+++ b/cloverwell/front/port.py
@@ -19,7 +19,7 @@
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import Factory
 
-from cloverwell.codec.lines import is_readable
+from cloverwell.codec.socket_state import is_readable
 from cloverwell.system_calls import ABORTED_CONNECTION_ERRORS, SHORTAGE
 
 # Before a port closes, it accepts the connections that wait, in rounds of as many as the factory accepts at
@@ -40,6 +40,7 @@
     """A factory for a `BoundedPort`, which limits how many connections the port accepts."""
 
     noisy = False
+    transport_class: type[tcp.Server] = tcp.Server
 
     def accept_limit(self) -> int:
         """Return how many connections may be accepted now."""
@@ -56,6 +57,15 @@
         """
 
 
+class ClientTransport(tcp.Server):
+    """The transport of a client's connection, whose protocol says how many bytes are read at once."""
+
+    @property
+    def bufferSize(self) -> int:  # type: ignore[override]  # Twisted declares a plain attribute.
+        """Return the most bytes that Twisted reads at once."""
+        return int(self.protocol.read_bytes)
+
+
 class _GuardedSocket:
     """A listening socket that reports a failed accept to Twisted as an empty accept queue.
 
@@ -244,6 +254,7 @@
 
 
 def _start(bounded_port: BoundedPort) -> BoundedPort:
+    bounded_port.transport = bounded_port.factory.transport_class
     _retry_during_shortage(bounded_port.startListening)
     bounded_port.guard()
     return bounded_port
--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -12,12 +12,14 @@
 from cloverwell.front.meta_answers import FAILED
 from cloverwell.front.pending_response import PendingResponse
 from cloverwell.front.response_stream import ResponseStream
+from cloverwell.memory_budget import MemoryAccount, MemoryUse
 from cloverwell.request import Request
 from cloverwell.streamed_value import StreamedValue, StreamStage
 
 # The limits of the responses that are joined for one write.
 MAX_JOINED_RESPONSES = 64
 MAX_JOINED_BYTES = 16 * 1024
+RESPONSE_BYTES = 200  # what a pending response takes besides its bytes
 
 
 class SendingConnection(Protocol):
@@ -47,7 +49,7 @@
 class ResponseQueue:
     """Holds the pending responses, and the streamed value that is being sent."""
 
-    __slots__ = ("_connection", "_owner", "_stream", "_stream_end_unsent", "pending")
+    __slots__ = ("_account", "_connection", "_owner", "_stream", "_stream_end_unsent", "pending")
 
     def __init__(self, connection: SendingConnection, owner: ConnectionOwner[Any]) -> None:
         """Set up an empty queue that sends on `connection`."""
@@ -57,6 +59,28 @@
         self._stream: ResponseStream | None = None
         self._stream_end_unsent = False  # whether the end of a long value may still be in the outgoing buffer
         self.pending: deque[PendingResponse] = deque()
+        self._account = MemoryAccount(owner.memory, MemoryUse.RESPONSES)
+
+    def hold_unsent(self, response: PendingResponse) -> None:
+        """Charge a response that could not be written at once, until it is written."""
+        if response.data is not None and not response.held_bytes:
+            response.held_bytes = len(response.data) + RESPONSE_BYTES
+            self._account.hold(self._account.held_bytes + response.held_bytes)
+
+    def _written(self, response: PendingResponse) -> None:
+        response.data = None
+        if response.held_bytes:
+            self._account.hold(max(0, self._account.held_bytes - response.held_bytes))
+            response.held_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that the pending responses take."""
+        return self._account.held_bytes
+
+    def free_memory(self) -> None:
+        """Record that the connection is closed, so that nothing is held for it any more."""
+        self._account.hold(0)
 
     @property
     def has_open_request(self) -> bool:
@@ -82,16 +106,17 @@
             response = pending[0]
             if response.stream is not None and response.stream.stage is StreamStage.ENDED:
                 # The value broke off before any of it was sent, so an error can still be sent instead.
+                self._written(response)
                 data = response.data = FAILED
                 response.stream = None
             if response.stream is None and len(pending) > 1 and self._send_several():
                 continue
             if not self._connection.try_write(data):
                 return
+            self._written(response)
             if response.stream is None:
                 pending.popleft()
             else:
-                response.data = None
                 self._start_stream(response.stream)
 
     def _send_several(self) -> bool:
@@ -108,7 +133,7 @@
         if len(known) < 2 or not self._connection.try_write(b"".join(known)):
             return False
         for _ in known:
-            self.pending.popleft()
+            self._written(self.pending.popleft())
         return True
 
     def resume_stream(self) -> None:
@@ -123,6 +148,7 @@
             self._stream = None
         abandoned = list(self.pending)
         self.pending.clear()
+        self.free_memory()
         open_requests = []
         for response in abandoned:
             if response.stream is not None:
--- a/cloverwell/membership/endpoint_discovery.py
+++ b/cloverwell/membership/endpoint_discovery.py
@@ -75,6 +75,7 @@
 
         """
         self.on_update: Callable[[EndpointUpdate | EndpointUpdateFailed], None] = lambda _update: None
+        self.memory = pools.memory
         self._reactor = reactor
         self._timer_wheel = timer_wheel
         self._settings = settings
--- a/cloverwell/membership/watch_connection.py
+++ b/cloverwell/membership/watch_connection.py
@@ -11,6 +11,7 @@
 
 from cloverwell.codec.http import HttpReceiver, encode_request
 from cloverwell.membership.endpoint_list import MAX_LIST_BYTES
+from cloverwell.memory_budget import MemoryBudget, MemoryUse
 from cloverwell.system_calls import connect_fault
 
 
@@ -25,7 +26,9 @@
 
 
 class PollObserver(Protocol):
-    """The receiver of a connection's reports, which begins the polls."""
+    """The receiver of a connection's reports, which begins the polls; `memory` is the process's budget."""
+
+    memory: MemoryBudget
 
     def is_current(self, source: WatchConnection | WatchConnector) -> bool:
         """Return whether the source is the one in use; reports of an abandoned one must be ignored."""
@@ -50,16 +53,20 @@
     """A connection to discovery that is kept from one poll to the next."""
 
     max_body_bytes = MAX_LIST_BYTES
+    incoming_use = MemoryUse.ENDPOINT_LIST
 
     def __init__(self, observer: PollObserver, target: str, host: str) -> None:
         """Poll `target`, an HTTP request target, once connected; `host` is for the Host header."""
-        super().__init__()
+        super().__init__(observer.memory)
         self._observer = observer
         self._target = target
         self._host = host
         self._reused = False  # True once an answer has arrived on this connection
         self._answer_begun = False
 
+    def memory_refused(self) -> None:
+        """Read on: without the endpoint list no request can be served."""
+
     def connectionMade(self) -> None:
         """Send the first poll."""
         super().connectionMade()
--- a/cloverwell/process_memory.py
+++ b/cloverwell/process_memory.py
@@ -15,10 +15,11 @@
 M_TRIM_THRESHOLD = -1
 M_MMAP_THRESHOLD = -3
 M_ARENA_MAX = -8
-# A block of at least this size is mapped by itself, and its memory is given back when it is freed.
-MAPPED_BLOCK_BYTES = 32 * 1024
-# Free memory at the top of the heap beyond this size is given back.
-KEPT_FREE_BYTES = 64 * 1024
+# A block of at least this size is mapped by itself, and its memory is given back when it is freed. It is more
+# than what is read from a socket at once, since mapping costs more than such a read.
+MAPPED_BLOCK_BYTES = 256 * 1024
+# Free memory at the top of the heap beyond this size is given back at once.
+KEPT_FREE_BYTES = 512 * 1024
 
 
 def resident_bytes() -> int:
--- a/cloverwell/program.py
+++ b/cloverwell/program.py
@@ -94,6 +94,7 @@
         field = "operator" if (error.interface, error.port) == config.operator else "listen"
         return _fail(f"{field}: {error}")
     tune_garbage_collector()
+    proxy.measure_memory()
     reactor.run(installSignalHandlers=False)
     ignore_signals()
     return 0
--- a/cloverwell/proxy.py
+++ b/cloverwell/proxy.py
@@ -106,6 +106,8 @@
         self._client_port = ClientPort(parts.client_connections)
         self._operator_port: SharedListeningPort | None = None
         self._control: ProxyControl | None = None  # None without a `control` section in the configuration
+        self.memory = parts.memory
+        self._memory_monitor = parts.memory_monitor
         self._metrics_log = MetricsLog(parts.timer_wheel, log, parts.metrics, parts.counts)
         self._handover = HandoverCoordinator(config, log, parts, self._client_port, predecessor)
         self._shutdown = GracefulShutdown(
@@ -144,6 +146,10 @@
         else:
             self._follow_control()
 
+    def measure_memory(self) -> None:
+        """Sizes the budget of memory by what this process takes now, and observes it from now on."""
+        self._memory_monitor.start()
+
     def _open_client_port(self, listen: ListenFunction, adopt: AdoptFunction) -> None:
         predecessor = self._handover.predecessor
         if predecessor is not None:
--- a/cloverwell/request.py
+++ b/cloverwell/request.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from cloverwell.facade import AttemptOutcome, SendAttempt
+from cloverwell.memory_budget import Urgency
 from cloverwell.streamed_value import StreamedValue
 from cloverwell.timer_wheel import Timer
 
@@ -41,6 +42,14 @@
 
 FinalAnswer = Served | Rejected | Failed
 
+
+@dataclass(slots=True, frozen=True)
+class NoMemory:
+    """A node has begun to give a value, and this process has no memory for it: the value is discarded."""
+
+
+AttemptBody = bytes | StreamedValue | NoMemory
+
 # The propagated deadline `d` is a whole number of ms, so an attempt with less time left is not sent.
 MIN_PROPAGATED_MS = 1
 
@@ -67,7 +76,7 @@
     decision: SendAttempt
     request: Request
     write_by_ms: float  # the time after which no byte of the attempt may be written
-    on_end: Callable[[Attempt, AttemptOutcome, bytes | StreamedValue], None]
+    on_end: Callable[[Attempt, AttemptOutcome, AttemptBody], None]
     pool: AttemptPool
     deadline_ms: float  # the time at which the attempt is given up, not after its client's deadline
     # The request must not run twice, so a reset after the last byte of the attempt fails it.
@@ -99,7 +108,7 @@
         if not self.is_over:
             self.pool.start(self)
 
-    def end(self, outcome: AttemptOutcome, body: bytes | StreamedValue = b"") -> None:
+    def end(self, outcome: AttemptOutcome, body: AttemptBody = b"") -> None:
         """Reports the outcome to the owner. Calls after the first have no effect."""
         # A late answer, or a connection that breaks after the end, must not be reported a second time.
         if self.is_over:
@@ -123,6 +132,10 @@
     value: bytes  # what a write stores; empty for a read
     info: str  # the client's names and values, `NAME=VALUE,...`, as they came
     on_answer: Callable[[Request, FinalAnswer], None]
+    # Says how urgent the memory for the request and its answer is: a client that does not take its responses
+    # can wait for more of them.
+    memory_urgency: Callable[[], Urgency] = lambda: Urgency.PROMPT
+    held_bytes: int = 0  # the memory that the request holds while it is open
     deadline_ms: float = 0.0  # the clock's reading at the deadline
     is_over: bool = False
     attempts: dict[int, Attempt] = field(default_factory=dict)  # the attempts in flight, by number
--- a/cloverwell/streamed_value.py
+++ b/cloverwell/streamed_value.py
@@ -27,9 +27,10 @@
     ENDED = "ended"  # the value is complete, broken off or cancelled
 
 
-def read_ahead_bytes(buffer_bytes: int, streams: int) -> int:
+def read_ahead_bytes(buffer_bytes: float, streams: int) -> int:
     """Returns how many bytes are buffered for each of the `streams`, which share `buffer_bytes`."""
-    return max(READ_AHEAD_BOUNDS_BYTES[0], min(READ_AHEAD_BOUNDS_BYTES[1], buffer_bytes // max(1, streams)))
+    least_bytes, most_bytes = READ_AHEAD_BOUNDS_BYTES
+    return int(max(least_bytes, min(most_bytes, buffer_bytes / max(1, streams))))
 
 
 class StreamedValue:
--- a/lab/attempts.py
+++ b/lab/attempts.py
@@ -16,6 +16,7 @@
 from cloverwell.connections.node_policy import ConnectionUse, NodeConnectionPolicy
 from cloverwell.facade import AttemptOutcome, SendAttempt
 from cloverwell.log import Log
+from cloverwell.memory_budget import Urgency
 from cloverwell.request import Attempt
 from cloverwell.timer_wheel import TimerWheel
 from lab.cache_nodes import CacheNode
@@ -103,6 +104,7 @@
             id=name,
             key="k",
             is_write=False,
+            memory_urgency=lambda: Urgency.PROMPT,
             info_with_deadline=lambda wait_ms: f"c=page,d={int(wait_ms)}",
             deadline_ms=now + timeout_ms,
         )
--- a/lab/memory/crowd.py
+++ b/lab/memory/crowd.py
@@ -90,6 +90,7 @@
             if not data:
                 return
             if data.startswith(b"SERVER_ERROR"):
+                await asyncio.sleep(SLOW_READ_INTERVAL_S)
                 break
             read += len(data)
             await asyncio.sleep(SLOW_READ_INTERVAL_S)
--- a/lab/memory/neighbours.py
+++ b/lab/memory/neighbours.py
@@ -1,9 +1,15 @@
-"""Cache nodes and an origin that serve values of any size: the key `size60000-1` has 60,000 bytes."""
+"""Cache nodes and an origin that serve values of any size: the key `size60000-1` has 60,000 bytes.
+
+They run in processes of their own, `python -m lab.memory.neighbours NODES [origin]`, so that what one of them
+does for a crowd delays neither the others nor the usual clients.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import re
+import sys
+from functools import cache
 
 from lab.loopback.event_time import EventTime
 from lab.loopback.nodes import StandIn, read_head
@@ -15,7 +21,12 @@
 def value_of(key: str) -> bytes:
     """Return the value of a key."""
     found = SIZE.search(key)
-    return b"v" * int(found[1]) if found else SHORT_VALUE
+    return _value(int(found[1])) if found else SHORT_VALUE
+
+
+@cache
+def _value(size_bytes: int) -> bytes:
+    return b"v" * size_bytes
 
 
 class SizedCacheNode(StandIn):
@@ -56,3 +67,22 @@
             )
             writer.write(head.encode() + b"\r\n" + body)
             await writer.drain()
+
+
+async def _serve_until_told(nodes: int, with_origin: bool) -> None:
+    stand_ins: list[StandIn] = [SizedCacheNode() for _ in range(nodes)]
+    if with_origin:
+        stand_ins.append(SizedOrigin())
+    for stand_in in stand_ins:
+        await stand_in.start()
+    print(*(f"{host}:{port}" for host, port in (one.address[:2] for one in stand_ins)), flush=True)
+    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+
+
+def main() -> None:
+    """Serve so many nodes, and an origin if a second word is given; print their addresses in one line."""
+    asyncio.run(_serve_until_told(int(sys.argv[1]), len(sys.argv) > 2))
+
+
+if __name__ == "__main__":
+    main()
--- a/lab/memory/run.py
+++ b/lab/memory/run.py
@@ -12,13 +12,12 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from lab.loopback.nodes import StandIn
-from lab.memory.neighbours import SizedCacheNode, SizedOrigin
 from lab.memory.usual import UsualAnswers, UsualClients
 from lab.processes import ROOT, free_port
 from lab.proxy_testbed import SETTINGS
 
-NODES = 12
+NODE_PROCESSES = 3
+NODES_PER_PROCESS = 4
 SAMPLE_INTERVAL_S = 0.02
 READY_TIMEOUT_S = 20.0
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -75,8 +74,9 @@
         """Start nothing yet; files go into the folder."""
         self._plan = plan
         self._folder = folder
-        self._nodes = [SizedCacheNode() for _ in range(NODES)]
-        self._origin = SizedOrigin()
+        self._neighbours: list[subprocess.Popen[bytes]] = []
+        self._node_addresses: list[str] = []
+        self._origin_address = ""
         self.address = ("127.0.0.1", free_port())
         self.operator = ("127.0.0.1", free_port())
         self.result = CrowdResult(plan.memory_mb)
@@ -94,16 +94,24 @@
         finally:
             if sampling is not None:
                 sampling.cancel()
-            await self._stop()
+            self._stop()
         self.result.log = (self._folder / "log").read_text(errors="replace")
         return self.result
 
-    def _neighbours(self) -> list[StandIn]:
-        return [*self._nodes, self._origin]
+    def _start_neighbours(self) -> None:
+        command = [sys.executable, "-m", "lab.memory.neighbours", str(NODES_PER_PROCESS)]
+        for words in [["origin"], *[[]] * (NODE_PROCESSES - 1)]:
+            self._neighbours.append(
+                subprocess.Popen([*command, *words], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+            )
+        for neighbour in self._neighbours:
+            assert neighbour.stdout is not None
+            addresses = neighbour.stdout.readline().decode().split()
+            self._node_addresses += addresses[:NODES_PER_PROCESS]
+            self._origin_address = self._origin_address or addresses[-1]
 
     async def _start(self) -> None:
-        for neighbour in self._neighbours():
-            await neighbour.start()
+        self._start_neighbours()
         config = self._folder / "config.json"
         config.write_text(json.dumps(self._configuration()))
         environ = os.environ | {
@@ -121,10 +129,10 @@
 
     def _configuration(self) -> dict[str, object]:
         members = [
-            {"id": f"s{number}", "host_port": "{}:{}".format(*node.address), "flavor": "large"}
-            for number, node in enumerate(self._nodes)
+            {"id": f"s{number}", "host_port": address, "flavor": "large"}
+            for number, address in enumerate(self._node_addresses)
         ]
-        origin = {"id": "origin", "host_port": "{}:{}".format(*self._origin.address), "flavor": "origin"}
+        origin = {"id": "origin", "host_port": self._origin_address, "flavor": "origin"}
         return {
             "name": "p1",
             "listen": "{}:{}".format(*self.address),
@@ -161,13 +169,14 @@
             self._crowd.kill()
             self._crowd.communicate()
 
-    async def _stop(self) -> None:
+    def _stop(self) -> None:
         self._end_crowd()
         if self._process is not None:
             self._process.kill()
             self._process.wait()
-        for neighbour in self._neighbours():
-            await neighbour.stop()
+        for neighbour in self._neighbours:
+            neighbour.kill()
+            neighbour.communicate()
 
 
 async def play(plan: CrowdPlan, folder: Path | None = None) -> CrowdResult:
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -10,7 +10,7 @@
 from rig import read, reset, write
 from twisted.internet import tcp
 
-from cloverwell.codec import lines
+from cloverwell.codec import socket_state
 from cloverwell.dispatcher import Dispatcher
 from cloverwell.facade import AttemptOutcome
 from cloverwell.front.client_connection import (
@@ -94,7 +94,7 @@
     for connection in side.connections:
         connection.hold()
     calls = []
-    real_poll = lines.select.poll
+    real_poll = socket_state.select.poll
 
     class CountingPoll:
         def __init__(self):
@@ -107,7 +107,7 @@
 
     for conn in conns[:20]:
         conn.close()
-    monkeypatch.setattr(lines.select, "poll", CountingPoll)
+    monkeypatch.setattr(socket_state.select, "poll", CountingPoll)
     side.check_paused_connections()
     assert len(calls) == 1
     assert len(side.paused_connections) == 40
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -21,6 +21,8 @@
     (
         "cloverwell.descriptors",
         "cloverwell.log_stream",
+        "cloverwell.memory_budget",
+        "cloverwell.process_memory",
         "cloverwell.system_calls",
         "cloverwell.unused_modules",
     ),
@@ -43,7 +45,7 @@
     ("cloverwell.back",),
     ("cloverwell.dispatcher", "cloverwell.membership"),
     ("cloverwell.front",),
-    ("cloverwell.config",),
+    ("cloverwell.config", "cloverwell.memory_monitor"),
     ("cloverwell.control", "cloverwell.handover"),
     ("cloverwell.assembly", "cloverwell.client_port", "cloverwell.metrics_log"),
     ("cloverwell.graceful_shutdown", "cloverwell.handover_coordinator"),
--- a/tests/test_lab_system_calls.py
+++ b/tests/test_lab_system_calls.py
@@ -14,7 +14,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from cloverwell.codec import lines
-from cloverwell.codec.lines import RingLineReceiver
+from cloverwell.codec.lines import BufferedLineReceiver
 from cloverwell.codec.steady_socket import SteadySocket, install_steady_socket
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.front.client_connection import ClientConnection
@@ -90,7 +90,7 @@
         self._socket.send(data)
         return b""
 
-    patch.setattr(RingLineReceiver, "_send_now", send_now)
+    patch.setattr(BufferedLineReceiver, "_send_now", send_now)
 
 
 def does_not_hear_that_its_client_was_cut_off(patch):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import math
 import signal
 import subprocess
 import sys
@@ -14,33 +15,44 @@
 from balancer.api import ServerEntry
 from balancer.settings import SettingsError, read_settings
 from cloverwell import facade as balancer_facade
-from cloverwell.codec.ring_buffer import MIN_RING_BYTES, RingBuffer
+from cloverwell.codec.byte_queue import ByteQueue
 from cloverwell.config import ConfigError, read_config
 from cloverwell.log import MAX_LINES_PER_SECOND, Log
+from cloverwell.memory_budget import MemoryAccount, MemoryBudget, MemoryUse
 from cloverwell.program import install_signal_handlers
 from cloverwell.timer_wheel import TimerWheel
 
+BOUND_BYTES = 8192
 
-def test_a_ring_buffer_keeps_the_order_when_it_wraps_and_never_exceeds_its_bound():
-    ring, written, received = RingBuffer(2 * MIN_RING_BYTES), b"", b""
+
+def new_queue(bound):
+    budget = MemoryBudget(math.inf)
+    return ByteQueue(bound, MemoryAccount(budget, MemoryUse.COMMANDS)), budget
+
+
+def test_a_byte_queue_keeps_the_order_and_never_exceeds_its_bound():
+    (queue, budget), written, received = new_queue(BOUND_BYTES), b"", b""
     for number in range(40):
         piece = bytes([number]) * 997
-        written += piece[: ring.write(piece)]
-        assert len(ring) <= ring.bound
-        received += ring.read(701)
-    assert ring.write(b"x" * 3 * MIN_RING_BYTES) + len(ring) >= ring.bound
-    assert ring.room == 0
-    rest = ring.read(ring.bound)
+        written += piece[: queue.write(piece)]
+        assert len(queue) <= queue.bound
+        assert budget.held_bytes >= len(queue)
+        received += queue.read(701)
+    assert queue.write(b"x" * 2 * BOUND_BYTES) + len(queue) >= queue.bound
+    assert queue.room == 0
+    assert budget.held_bytes <= 1.25 * BOUND_BYTES
+    rest = queue.read(queue.bound)
     assert (received + rest).startswith(written)
+    assert budget.held_bytes == 0
 
 
-def test_a_ring_buffer_finds_a_separator_that_wraps_around_its_end():
-    ring = RingBuffer(MIN_RING_BYTES)
-    ring.write(b"x" * (MIN_RING_BYTES - 1))
-    ring.read(MIN_RING_BYTES - 2)
-    ring.write(b"\r\nrest")
-    assert ring.find(b"\r\n") == 1
-    assert ring.peek(7) == b"x\r\nrest"
+def test_a_byte_queue_finds_a_separator_behind_what_was_read():
+    queue, _ = new_queue(BOUND_BYTES)
+    queue.write(b"x" * (BOUND_BYTES - 1))
+    queue.read(BOUND_BYTES - 2)
+    queue.write(b"\r\nrest")
+    assert queue.find(b"\r\n") == 1
+    assert queue.peek(7) == b"x\r\nrest"
 
 
 def wheel_and_clock():
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,7 +6,6 @@
 import pytest
 from scenario import Player, Transport
 
-from cloverwell.codec.ring_buffer import MIN_RING_BYTES
 from cloverwell.connections.budget import DescriptorBudget, DescriptorSide
 from cloverwell.connections.client_policy import RESERVE
 from cloverwell.program import tune_garbage_collector
@@ -247,7 +246,7 @@
         f"s1 send EN O2\norigin expect GET *\norigin send 200 {body}\nclient expect VA {size} O2|{body}"
     )
     # The buffer shrinks again after the value.
-    assert len(protocol._incoming._data) <= MIN_RING_BYTES
+    assert protocol._incoming.allocated_bytes == 0
 
 
 def test_a_client_that_does_not_read_its_answer_is_closed_after_the_longest_deadline():
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -16,8 +16,8 @@
 from faulty_sockets import CallFaults, OutgoingSockets, cancel_watch, inject_accept_faults
 from rig import Rig, read, write
 
-from cloverwell.codec import lines
-from cloverwell.codec.lines import closed_by_peer, is_readable, received_ago_ms
+from cloverwell.codec import socket_state
+from cloverwell.codec.socket_state import closed_by_peer, is_readable, received_ago_ms
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.node_policy import ConnectionUse
 from lab.proxy_testbed import SETTINGS
@@ -234,7 +234,7 @@
                 return self._poll.poll(wait)
 
         fake = SimpleNamespace(poll=Poll, POLLRDHUP=select.POLLRDHUP, POLLIN=select.POLLIN)
-        monkeypatch.setattr(lines, "select", fake)
+        monkeypatch.setattr(socket_state, "select", fake)
 
     return fail
 
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -18,7 +18,7 @@
 from scenario import Player
 
 from balancer.request_state import Server
-from cloverwell.codec.lines import RingLineReceiver
+from cloverwell.codec.lines import BufferedLineReceiver
 from cloverwell.connections.accept_queue import AcceptQueue
 from cloverwell.connections.client_policy import ClientStage
 from cloverwell.front.client_connection import MAX_PIPELINED_COMMANDS, UNTHROTTLED_MALFORMED_COMMANDS
@@ -289,14 +289,14 @@
     informed_s = player.reactor.rightNow
     player.reactor.rightNow += waited_ms / 1000.0
     written_s = []
-    put_command = RingLineReceiver.try_write_command
+    put_command = BufferedLineReceiver.try_write_command
 
     def stalled_put(connection, data):
         player.reactor.rightNow += STALL_MS / 1000.0
         written_s.append(player.reactor.rightNow)
         return put_command(connection, data)
 
-    monkeypatch.setattr(RingLineReceiver, "try_write_command", stalled_put)
+    monkeypatch.setattr(BufferedLineReceiver, "try_write_command", stalled_put)
     player.connection("s1", 0)
     assert bool(written_s) == (waited_ms < DRAIN_GRACE_MS - STALL_MS - ONE_WAY_DELAY_MS)
     assert all(at - informed_s <= (DRAIN_GRACE_MS - ONE_WAY_DELAY_MS) / 1000.0 + 1e-6 for at in written_s)
