Let a write that must not run twice run once at both processes of an upgrade

Callers saw: the same id ran again at the other process of an upgrade while the first was still at work, or once its client had left and come again behind the first. Cause: a successor got the port, the list and descriptors, but not the ids that its predecessor had open; and one process knew an id only while its attempt was out. Change: `IdClaims` holds the id of a request that must not run twice until 1 s beyond its deadline once it may have run. The two processes tell each other of each such id before its first attempt, and wait until the other has confirmed all before (150 ms at most, then the request is rejected); what a killed predecessor had sent stays known. Both fields of the hello and the state are left out where a release does not know them.

--- a/cloverwell/assembly.py
+++ b/cloverwell/assembly.py
@@ -30,6 +30,7 @@
 from cloverwell.facade import Facade
 from cloverwell.front.client_connections import ClientConnections
 from cloverwell.handover.successor import Predecessor
+from cloverwell.id_claims import IdClaims
 from cloverwell.log import Log
 from cloverwell.loop_work import stall_reporter
 from cloverwell.membership.endpoint_discovery import EndpointDiscovery
@@ -90,6 +91,7 @@
     node_policy: NodeConnectionPolicy
     pools: NodePools
     facade: Facade
+    id_claims: IdClaims
     dispatcher: Dispatcher
     endpoint_discovery: EndpointDiscovery
     client_connections: ClientConnections
@@ -129,7 +131,8 @@
     memory.resize(config.limits.memory_mb * BYTES_PER_MB, TYPICAL_REST_BYTES)
     pools = _make_pools(reactor, settings, timer_wheel, log, budget, node_policy, metrics, memory)
     facade = Facade(settings, config.seed, now)
-    dispatcher = Dispatcher(facade, timer_wheel, pools, log, counts)
+    id_claims = IdClaims(timer_wheel)
+    dispatcher = Dispatcher(facade, timer_wheel, pools, log, counts, id_claims)
     endpoint_discovery = EndpointDiscovery(
         reactor, timer_wheel, settings, pools, log, config.discovery, read_epoch_ms, counts, config.seed
     )
@@ -148,6 +151,7 @@
         node_policy,
         pools,
         facade,
+        id_claims,
         dispatcher,
         endpoint_discovery,
         client_connections,
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -16,6 +16,7 @@
 from cloverwell.connections.unsent_retry import UnsentRequest, retry_at_ms
 from cloverwell.counters import Counters
 from cloverwell.facade import AttemptOutcome, Facade
+from cloverwell.id_claims import ClaimResult, IdClaims
 from cloverwell.log import Log
 from cloverwell.memory_budget import REQUEST_BYTES, MemoryUse
 from cloverwell.request import Attempt, AttemptBody, Failed, NoMemory, Rejected, Request, Served
@@ -34,12 +35,20 @@
     """Holds the open requests, and gives each exactly one final answer unless its client disconnects."""
 
     def __init__(
-        self, facade: Facade, timer_wheel: TimerWheel, pools: NodePools, log: Log, counts: Counters
+        self,
+        facade: Facade,
+        timer_wheel: TimerWheel,
+        pools: NodePools,
+        log: Log,
+        counts: Counters,
+        id_claims: IdClaims | None = None,
     ) -> None:
         """Sets up a dispatcher without requests, and has the timer wheel call it at each tick.
 
-        `counts` are the counters of the proxy's `counts` log lines.
+        `counts` are the counters of the proxy's `counts` log lines; `id_claims` are the ids of requests that
+        must not run twice.
         """
+        self._id_claims = id_claims or IdClaims(timer_wheel)
         self._facade = facade
         self._timer_wheel = timer_wheel
         self._pools = pools
@@ -75,8 +84,7 @@
             return
         if request.id in self._open:
             # No two open requests may share an id: their answers would be mixed up.
-            self._record_failure(request, "twice")
-            request.complete(Failed())
+            self._fail_as_twice(request)
             return
         max_open = self._facade.settings.max_open_requests
         if max_open and len(self._open) >= max_open:
@@ -89,6 +97,32 @@
         request.deadline_timer = self._timer_wheel.call_by(
             request.deadline_ms - DEADLINE_MARGIN_MS, lambda: self._fail_at_deadline(request)
         )
+        if balancer_facade.forbids_retry(self._facade.settings, request.class_number):
+            self._id_claims.claim(
+                request.id, request.deadline_ms, lambda result: self._claim_ended(request, result)
+            )
+        else:
+            self._begin(request)
+
+    def _claim_ended(self, request: Request, result: ClaimResult) -> None:
+        """Begins a request that must not run twice, unless its id has run or may still run."""
+        request.holds_id = result is ClaimResult.GRANTED
+        if request.is_over:
+            pass
+        elif result is ClaimResult.GRANTED:
+            self._begin(request)
+        elif result is ClaimResult.HELD:
+            self._fail_as_twice(request)
+        else:
+            self.record_rejection(request.id, "unconfirmed")
+            request.complete(Rejected(self._facade.settings.max_retry_after_ms))
+        self._forget_if_done(request)
+
+    def _fail_as_twice(self, request: Request) -> None:
+        self._record_failure(request, "twice")
+        request.complete(Failed())
+
+    def _begin(self, request: Request) -> None:
         self._carry_out(self._facade.decide(request), request)
         self.carry_out_due_decisions()
 
@@ -377,3 +411,5 @@
         if self._open.pop(request.id, None) is None:
             return
         self._memory.change(MemoryUse.REQUESTS, -request.held_bytes)
+        if request.holds_id and request.first_possible_run_ms is None:
+            self._id_claims.release(request.id)
--- a/cloverwell/handover/messages.py
+++ b/cloverwell/handover/messages.py
@@ -2,20 +2,23 @@
 
 Each message is one line of JSON, sent over a Unix socket:
 
-    successor -> predecessor   {"version":1,"listen":"HOST:PORT"}
-    predecessor -> successor   {"version":1,"sockets":N,"table":{...},"node_starts":{...}} and the listening
-                               socket's descriptor
+    successor -> predecessor   {"version":1,"listen":"HOST:PORT","claims":true}
+    predecessor -> successor   {"version":1,"sockets":N,"table":{...},"node_starts":{...},"held_ids":{...},
+                               "memory_mb":N} and the listening socket's descriptor
     successor -> predecessor   {"serves":true}
+    each to the other          {"held":"ID","for_ms":N}, {"released":"ID"}, {"confirm":N}, {"confirmed":N}
 
-Unknown fields are ignored, and `node_starts` may be missing, so that processes of an older and a newer
-release understand each other either way. The connection stays open after the last message: its end tells each
-process that the other one has exited.
+Unknown fields are ignored, and the fields behind `table` may be missing, so that processes of an older and a
+newer release understand each other either way. Claims (`cloverwell.id_claims`) are sent only to a process
+that has sent `claims` or `held_ids`. The connection stays open: its end tells each process that the other one
+has exited.
 """
 
 from typing import TypeVar
 
 import msgspec
 
+from cloverwell.id_claims import ClaimMessage
 from cloverwell.membership.endpoint_list import MAX_LIST_BYTES, EndpointList, EndpointListError, split_address
 from cloverwell.membership.node_starts import KnownStarts
 
@@ -59,10 +62,14 @@
 
 
 class Hello(msgspec.Struct):
-    """The successor's request for the address `listen`, as `HOST:PORT`."""
+    """The successor's request for the address `listen`, as `HOST:PORT`.
+
+    `claims`: it understands claims of ids.
+    """
 
     version: int
     listen: str
+    claims: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 class HandoverState(msgspec.Struct):
@@ -70,13 +77,16 @@
 
     `sockets` is the number of descriptors that the successor may use until its predecessor has exited;
     `table` is the endpoint list as it was received last; `node_starts` is when its nodes started, by the
-    monotonic clock that both processes read.
+    monotonic clock that both processes read. `held_ids` has for each id that the predecessor holds the ms for
+    which it does; `memory_mb` is the memory that the successor may use until its predecessor has exited.
     """
 
     version: int
     sockets: int
     table: EndpointList
     node_starts: KnownStarts | None = None
+    held_ids: dict[str, float] | msgspec.UnsetType = msgspec.UNSET
+    memory_mb: float | msgspec.UnsetType = msgspec.UNSET
 
     def check_clock(self, requested_ms: float, received_ms: float) -> bool:
         """Return False, and drop `node_starts`, if it was not written between these two moments.
@@ -96,6 +106,12 @@
     serves: bool
 
 
+class SuccessorMessage(ClaimMessage, omit_defaults=True):
+    """A message of the successor behind its hello: that it serves, or one on the claim of an id."""
+
+    serves: bool = False
+
+
 def encode(message: msgspec.Struct) -> bytes:
     """Return the message as a line of JSON, with its end."""
     return msgspec.json.encode(message) + MESSAGE_END
--- a/cloverwell/handover/predecessor.py
+++ b/cloverwell/handover/predecessor.py
@@ -17,8 +17,9 @@
 
 from cloverwell.front.port import BackoffPort, BoundedFactory
 from cloverwell.handover import messages
-from cloverwell.handover.messages import HandoverError, HandoverState, Hello, Serves
+from cloverwell.handover.messages import HandoverError, HandoverState, Hello, SuccessorMessage
 from cloverwell.handover.sockets import is_same_user, remove_stale_socket, short_path
+from cloverwell.id_claims import ClaimLink, ClaimMessage
 from cloverwell.log import Log
 from cloverwell.timer_wheel import Timer, TimerWheel
 
@@ -65,6 +66,12 @@
         Raises `HandoverError` if there is nothing to hand over.
         """
 
+    def connect_successor(self, link: ClaimLink) -> dict[str, float]:
+        """Tell the successor of each id that is held from now on; return those that are, with their ms."""
+
+    def claim_received(self, message: ClaimMessage) -> None:
+        """Handle a message of the successor on the claim of an id."""
+
     def successor_started(self) -> None:
         """Stop accepting connections: the successor accepts them now."""
 
@@ -154,6 +161,8 @@
         self.successor = connection
         self.close()  # From now on the path is the successor's.
         handover_state, listening_descriptor = self.proxy.hand_over()
+        if hello.claims is True:
+            handover_state.held_ids = self.proxy.connect_successor(connection)
         connection.send_state(handover_state, listening_descriptor)
         self.log.info(
             "handover",
@@ -201,8 +210,15 @@
             self._refuse(str(error))
 
     def _successor_line_received(self, line: bytes) -> None:
-        if messages.decode(line, Serves).serves:
+        message = messages.decode(line, SuccessorMessage)
+        if message.serves:
             self._successor_listener.proxy.successor_started()
+        else:
+            self._successor_listener.proxy.claim_received(message)
+
+    def send_claim(self, message: ClaimMessage) -> None:
+        """Send a message on the claim of an id."""
+        self.transport.write(messages.encode(message))
 
     def lineLengthExceeded(self, _line: bytes) -> None:
         """Refuse a process that sends more than a hello."""
--- a/cloverwell/handover/successor.py
+++ b/cloverwell/handover/successor.py
@@ -17,6 +17,7 @@
 from cloverwell.handover import messages
 from cloverwell.handover.messages import HandoverError, HandoverState, Hello, Serves
 from cloverwell.handover.sockets import is_same_user, short_path
+from cloverwell.id_claims import ClaimMessage
 from cloverwell.log import Log
 from cloverwell.system_calls import TRANSIENT_ERRORS
 from cloverwell.timer_wheel import monotonic_ms
@@ -73,14 +74,23 @@
 
     _reactor: ReadingReactor
     _on_exit: Callable[[], None]
+    on_claim: Callable[[ClaimMessage], None]  # called with each message on the claim of an id
 
     def __init__(
-        self, handover_state: HandoverState, listening_descriptor: int, connection: socket.socket
+        self,
+        handover_state: HandoverState,
+        listening_descriptor: int,
+        connection: socket.socket,
+        received: bytes = b"",
     ) -> None:
-        """`connection` is the one on which the state was received."""
+        """`connection` is the one on which the state was received; `received` has come behind the state."""
         self.handover_state = handover_state
         self.listening_descriptor = listening_descriptor
         self._connection = connection
+        self._received = received
+        self._unsent = b""
+        self._sends_later = False
+        self.on_claim = lambda _message: None
 
     def watch(self, reactor: ReadingReactor, on_exit: Callable[[], None]) -> None:
         """Tell the predecessor that this process serves from now on; `on_exit` is called once, at
@@ -89,18 +99,31 @@
         self._on_exit = on_exit
         self._connection.setblocking(False)
         reactor.addReader(self)
+        self._handle_messages()
         self._send(messages.encode(Serves(True)))
 
+    def send_claim(self, message: ClaimMessage) -> None:
+        """Send a message on the claim of an id."""
+        self._send(messages.encode(message))
+
     def _send(self, data: bytes) -> None:
         """Send until all is sent: the predecessor goes on accepting connections until it has the message."""
+        self._unsent += data
+        if not self._sends_later:
+            self._send_unsent()
+
+    def _send_unsent(self) -> None:
+        self._sends_later = False
         try:
-            sent = self._connection.send(data)
+            sent = self._connection.send(self._unsent)
         except OSError as error:
             if not _is_transient(error):
                 return  # The predecessor has exited, and `doRead` will notice.
             sent = 0
-        if sent < len(data):
-            self._reactor.callLater(RESEND_INTERVAL_S, self._send, data[sent:])
+        self._unsent = self._unsent[sent:]
+        if self._unsent:
+            self._sends_later = True
+            self._reactor.callLater(RESEND_INTERVAL_S, self._send_unsent)
 
     # IReadDescriptor ----------------------------------------------------------------------------
 
@@ -113,19 +136,28 @@
         return "predecessor"
 
     def doRead(self) -> None:
-        """Notice the end of the connection. Data is ignored, since a later release may send more messages."""
+        """Handle the predecessor's messages, and notice the end of the connection."""
         try:
-            data = self._connection.recv(4096)
+            data = self._connection.recv(MAX_RECEIVED_BYTES)
         except OSError as error:
             if _is_transient(error):
                 return
             data = b""
         if data:
+            self._received += data
+            self._handle_messages()
             return
         self._reactor.removeReader(self)
         self._connection.close()
         self._on_exit()
 
+    def _handle_messages(self) -> None:
+        *lines, self._received = self._received.split(messages.MESSAGE_END)
+        for line in lines:
+            # A later release may send other messages, which are ignored.
+            with contextlib.suppress(HandoverError):
+                self.on_claim(messages.decode(line, ClaimMessage))
+
     def connectionLost(self, reason: Failure) -> None:
         """Do nothing when the reactor ends, since the process exits with it."""
 
@@ -146,13 +178,13 @@
                 return None
             descriptors: list[int] = []
             cleanup.callback(_close_all, descriptors)
-            handover_state = _exchange(connection, listen, descriptors, deadline_s, log)
+            handover_state, received = _exchange(connection, listen, descriptors, deadline_s, log)
             listening = _checked_listening_socket(descriptors, listen)
             cleanup.pop_all()
     except (OSError, HandoverError) as error:
         log.warn("handover", f"the handover failed: {error}".replace("\n", " "))
         return None
-    return Predecessor(handover_state, listening, connection)
+    return Predecessor(handover_state, listening, connection, received)
 
 
 def _connect(connection: socket.socket, path: str, deadline_s: float) -> bool:
@@ -172,19 +204,24 @@
 
 def _exchange(
     connection: socket.socket, listen: tuple[str, int], descriptors: list[int], deadline_s: float, log: Log
-) -> HandoverState:
-    """Send the hello and return the answer; the descriptors that come with it are added to `descriptors`."""
+) -> tuple[HandoverState, bytes]:
+    """Send the hello; return the answer, and what has come behind it.
+
+    The descriptors that come with it are added to `descriptors`."""
     connection.settimeout(_remaining_s(deadline_s))
     requested_ms = monotonic_ms()
-    connection.sendall(messages.encode(Hello(messages.PROTOCOL_VERSION, f"{listen[0]}:{listen[1]}")))
-    line = _receive_line(connection, descriptors, deadline_s)
+    connection.sendall(messages.encode(Hello(messages.PROTOCOL_VERSION, f"{listen[0]}:{listen[1]}", True)))
+    line, received = _receive_line(connection, descriptors, deadline_s)
     handover_state = messages.decode(line, HandoverState)
     if not handover_state.check_clock(requested_ms, monotonic_ms()):
         log.warn("handover", "the predecessor reads another clock: its starts of nodes are not used")
-    return handover_state
+    return handover_state, received
 
 
-def _receive_line(connection: socket.socket, descriptors: list[int], deadline_s: float) -> bytes:
+def _receive_line(
+    connection: socket.socket, descriptors: list[int], deadline_s: float
+) -> tuple[bytes, bytes]:
+    """Return the first line that comes, and what has come behind it."""
     data = b""
     while messages.MESSAGE_END not in data:
         connection.settimeout(_remaining_s(deadline_s))
@@ -197,7 +234,8 @@
         data += received
         if len(data) > messages.MAX_STATE_BYTES:
             raise TakeoverError(TakeoverProblem.ANSWER_TOO_LONG)
-    return data.partition(messages.MESSAGE_END)[0]
+    line, _, received = data.partition(messages.MESSAGE_END)
+    return line, received
 
 
 def _checked_listening_socket(descriptors: list[int], listen: tuple[str, int]) -> int:
--- a/cloverwell/handover_coordinator.py
+++ b/cloverwell/handover_coordinator.py
@@ -1,13 +1,15 @@
 """A proxy's part in handovers: what it takes over from its predecessor and hands over to its successor.
 
-`cloverwell.handover` exchanges the messages between the processes; here the port and the descriptors change
-hands. The platform's limits count both processes as one proxy, so the descriptors are divided between them.
+`cloverwell.handover` exchanges the messages between the processes; here the port, the descriptors and the
+memory change hands. The platform's limits count both processes as one proxy, which share both.
 """
 
 from __future__ import annotations
 
 from typing import Protocol
 
+import msgspec
+
 from cloverwell.assembly import (
     SPARE_DESCRIPTORS,
     ProxyParts,
@@ -21,6 +23,7 @@
 from cloverwell.handover.messages import PROTOCOL_VERSION, HandoverError, HandoverState, handover_socket_path
 from cloverwell.handover.predecessor import SuccessorListener
 from cloverwell.handover.successor import Predecessor
+from cloverwell.id_claims import ClaimLink, ClaimMessage
 from cloverwell.log import Log
 from cloverwell.membership.endpoint_list import EndpointList
 from cloverwell.membership.node_starts import KnownStarts
@@ -75,12 +78,19 @@
 
     def watch_predecessor(self, reactor: ProxyReactor) -> None:
         """Tells the predecessor that this process serves now, and watches for the predecessor's exit."""
-        if self.predecessor is not None:
-            self.predecessor.watch(reactor, self.predecessor_exited)
+        if self.predecessor is None:
+            return
+        held_ids = self.predecessor.handover_state.held_ids
+        if not isinstance(held_ids, msgspec.UnsetType):
+            self._parts.id_claims.connect(self.predecessor, held_ids)
+            self._parts.id_claims.other_serves()
+            self.predecessor.on_claim = self._parts.id_claims.message_received
+        self.predecessor.watch(reactor, self.predecessor_exited)
 
     def predecessor_exited(self) -> None:
         """Takes over all descriptors: the predecessor has exited."""
         self.predecessor = None
+        self._parts.id_claims.disconnect()
         self._limit_descriptors(self._config.limits.sockets)
         self._log.info("handover", f"the predecessor has exited: {self._config.limits.sockets} descriptors")
 
@@ -123,9 +133,20 @@
         )
         return handover_state, self._client_port.listening_port.share_socket()
 
+    def connect_successor(self, link: ClaimLink) -> dict[str, float]:
+        """Tells the successor of each id that is held from now on; returns those that are, with their ms."""
+        held_ids = self._parts.id_claims.held_for_ms()
+        self._parts.id_claims.connect(link)
+        return held_ids
+
+    def claim_received(self, message: ClaimMessage) -> None:
+        """Handles a message of the successor on the claim of an id."""
+        self._parts.id_claims.message_received(message)
+
     def successor_started(self) -> None:
         """Leaves all further connections to the successor, which serves now."""
         self.successor_serves = True
+        self._parts.id_claims.other_serves()
         if self.control is not None:
             self.control.stop()  # The successor subscribes to the control log under the same name.
         self._client_port.pause()
@@ -133,6 +154,7 @@
 
     def successor_exited(self) -> None:
         """Accepts connections again, unless this process stops, because the successor has exited."""
+        self._parts.id_claims.disconnect()
         state = self._parts.serving.state
         if state is ServingState.STOPPING:
             return
--- a/cloverwell/request.py
+++ b/cloverwell/request.py
@@ -142,6 +142,7 @@
     last_outcome: AttemptOutcome | None = None  # the outcome of the attempt that ended last
     # The clock's reading before the write of the first attempt that may have run.
     first_possible_run_ms: float | None = None
+    holds_id: bool = False  # whether its id is claimed, since it must not run twice
     # The time before which no new attempt is written, because a closed one may still be at its node.
     earliest_next_attempt_ms: float = 0.0
     deadline_timer: Timer | None = None
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -35,7 +35,7 @@
         "cloverwell.streamed_value",
         "cloverwell.serving",
     ),
-    ("cloverwell.unix_time",),
+    ("cloverwell.unix_time", "cloverwell.id_claims"),
     ("cloverwell.codec", "cloverwell.store"),
     ("cloverwell.connections", "cloverwell.gossip", "cloverwell.limits"),
     ("cloverwell.placement", "cloverwell.recovery"),
