Divide the memory between the two processes of an upgrade

Callers saw: both processes count as one proxy, and each sized itself by the whole limit. Cause: only the descriptors were divided at a handover. Change: predecessor and successor use half of limits.memory_mb each, until one has exited; `HandoverState.memory_mb` is left out for an older release.

--- a/cloverwell/handover_coordinator.py
+++ b/cloverwell/handover_coordinator.py
@@ -29,6 +29,8 @@
 from cloverwell.membership.node_starts import KnownStarts
 from cloverwell.serving import ServingState
 
+SUCCESSOR_MEMORY_SHARE = 0.5  # of `limits.memory_mb`, until the predecessor has exited
+
 
 class ControlSubscriber(Protocol):
     """The subscriber to the control log under this proxy's name; only one process at a time may subscribe."""
@@ -64,6 +66,8 @@
         self.predecessor = predecessor
         self.control: ControlSubscriber | None = None
         self.successor_serves = False
+        if predecessor is not None and isinstance(predecessor.handover_state.memory_mb, float):
+            parts.memory_monitor.limit(predecessor.handover_state.memory_mb)
 
     # From a predecessor -------------------------------------------------------------------------------
 
@@ -91,6 +95,7 @@
         """Takes over all descriptors: the predecessor has exited."""
         self.predecessor = None
         self._parts.id_claims.disconnect()
+        self._parts.memory_monitor.limit(self._config.limits.memory_mb)
         self._limit_descriptors(self._config.limits.sockets)
         self._log.info("handover", f"the predecessor has exited: {self._config.limits.sockets} descriptors")
 
@@ -130,7 +135,9 @@
             max(MIN_SOCKETS, total_count - max(kept_count, used_count)),
             self._parts.endpoint_discovery.current_list(),
             self._parts.endpoint_discovery.node_starts(),
+            memory_mb=SUCCESSOR_MEMORY_SHARE * self._config.limits.memory_mb,
         )
+        self._parts.memory_monitor.limit((1.0 - SUCCESSOR_MEMORY_SHARE) * self._config.limits.memory_mb)
         return handover_state, self._client_port.listening_port.share_socket()
 
     def connect_successor(self, link: ClaimLink) -> dict[str, float]:
@@ -160,6 +167,7 @@
             return
         self.successor_serves = False
         self._limit_descriptors(self._config.limits.sockets)
+        self._parts.memory_monitor.limit(self._config.limits.memory_mb)
         if state is not ServingState.STARTING:
             self._client_port.enable_automatic_pauses()
             self._client_port.resume()
