Play the soak with little memory, hostile crowds and early kills

Cause: the soak told its processes 192 MB and did not judge memory, and killed none soon after its start.

--- a/lab/memory/crowd.py
+++ b/lab/memory/crowd.py
@@ -1,6 +1,8 @@
-"""A crowd of hostile clients, in a process of its own: `python -m lab.memory.crowd PORT KIND:NUMBER...`.
+"""A crowd of hostile clients, in a process of its own.
 
-Each client connects again as soon as its connection ends. The crowd ends with its standard input.
+    python -m lab.memory.crowd PORT PAUSE_S KIND:NUMBER...
+
+Each client connects again PAUSE_S after the end of its connection. The crowd ends with its standard input.
 """
 
 from __future__ import annotations
@@ -13,7 +15,6 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-RECONNECT_S = 0.05
 CONNECT_TIMEOUT_S = 5.0
 VALUE_BYTES = 65_536  # the largest value of a write
 SLOW_WRITE_BYTES = 60_000  # sent at once by a client that then goes on byte by byte
@@ -46,7 +47,8 @@
 
     async def until_answered(self) -> None:
         """Read until an answer or the end comes."""
-        await self.reader.read(65_536)
+        with contextlib.suppress(OSError):
+            await self.reader.read(65_536)
 
 
 def _read(key: str, wait_ms: int = 2000) -> bytes:
@@ -168,7 +170,7 @@
     return Stream(*await asyncio.open_connection(sock=handle, limit=65_536))
 
 
-async def _run_client(port: int, kind: str) -> None:
+async def _run_client(port: int, pause_s: float, kind: str) -> None:
     while True:
         with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
             stream = await _connect(port, kind)
@@ -176,12 +178,12 @@
                 await KINDS[kind](stream)
             finally:
                 stream.writer.transport.abort()
-        await asyncio.sleep(RECONNECT_S)
+        await asyncio.sleep(pause_s)
 
 
-async def _run(port: int, numbers: dict[str, int]) -> None:
+async def _run(port: int, pause_s: float, numbers: dict[str, int]) -> None:
     clients = [
-        asyncio.create_task(_run_client(port, kind))
+        asyncio.create_task(_run_client(port, pause_s, kind))
         for kind, number in numbers.items()
         for _ in range(number)
     ]
@@ -193,8 +195,8 @@
 
 def main() -> None:
     """Run the crowd that the command line describes."""
-    numbers = {kind: int(number) for kind, _, number in (word.partition(":") for word in sys.argv[2:])}
-    asyncio.run(_run(int(sys.argv[1]), numbers))
+    numbers = {kind: int(number) for kind, _, number in (word.partition(":") for word in sys.argv[3:])}
+    asyncio.run(_run(int(sys.argv[1]), float(sys.argv[2]), numbers))
 
 
 if __name__ == "__main__":
--- a/lab/memory/run.py
+++ b/lab/memory/run.py
@@ -19,6 +19,7 @@
 NODE_PROCESSES = 3
 NODES_PER_PROCESS = 4
 SAMPLE_INTERVAL_S = 0.02
+RECONNECT_S = 0.05  # from the end of a hostile connection to the next
 READY_TIMEOUT_S = 20.0
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 BYTES_PER_MB = 1024 * 1024
@@ -155,7 +156,7 @@
         await asyncio.sleep(self._plan.rest_s)
         self.result.rest_mb = resident_mb(self._process.pid)
         words = [f"{kind}:{number}" for kind, number in self._plan.numbers.items()]
-        command = [sys.executable, "-m", "lab.memory.crowd", str(self.address[1]), *words]
+        command = [sys.executable, "-m", "lab.memory.crowd", str(self.address[1]), str(RECONNECT_S), *words]
         self._crowd = subprocess.Popen(command, cwd=ROOT, stdin=subprocess.PIPE)
         await asyncio.sleep(self._plan.crowd_s)
         self._end_crowd()
--- a/lab/soak/cli.py
+++ b/lab/soak/cli.py
@@ -14,6 +14,7 @@
 import click
 
 from cloverwell.cli.main import exit_with_error
+from lab.soak.crowd_plan import draw_crowd_plan
 from lab.soak.defects import DEFECTS
 from lab.soak.plan import SoakInputError, SoakPlan, draw_plan, load_plan, read_seeds
 from lab.soak.result import SoakResult, Verdict
@@ -30,6 +31,7 @@
 )
 @click.option("--jobs", type=click.IntRange(1, MAX_JOBS), default=1, show_default=True, help="Runs at once.")
 @click.option("--faults", type=click.Path(path_type=Path), help="A TOML file with the plan, for one run.")
+@click.option("--crowds", is_flag=True, help="With little memory, hostile crowds and early kills.")
 @click.option("--defect", type=click.Choice(sorted(DEFECTS)), help="Put a defect in: the soak must find it.")
 @click.option(
     "--logs", type=click.Path(file_okay=False, path_type=Path), help="Keep the processes' logs here."
@@ -40,6 +42,7 @@
     minutes: float | None,
     jobs: int,
     faults: Path | None,
+    crowds: bool,
     defect: str | None,
     logs: Path | None,
     as_json: bool,
@@ -53,10 +56,12 @@
     Example: cloverwell lab soak --seeds 1..50 --jobs 2 --logs /tmp/soak
     """
     try:
-        plans = [load_plan(faults)] if faults is not None else [draw_plan(seed) for seed in read_seeds(seeds)]
+        draw = draw_crowd_plan if crowds else draw_plan
+        plans = [load_plan(faults)] if faults is not None else [draw(seed) for seed in read_seeds(seeds)]
     except SoakInputError as error:
         exit_with_error(str(error))
-    results = _play_all(plans, minutes, jobs, defect or "", logs, as_json, faults)
+    how = f"--faults {faults}" if faults else "--crowds" if crowds else ""
+    results = _play_all(plans, minutes, jobs, defect or "", logs, as_json, how)
     verdicts = [result.verdict for result in results]
     if not as_json:
         totals = ", ".join(f"{verdicts.count(verdict)} {verdict.value}" for verdict in Verdict)
@@ -74,7 +79,7 @@
     defect: str,
     logs: Path | None,
     as_json: bool,
-    faults: Path | None,
+    how: str,
 ) -> list[SoakResult]:
     begun_s = time.monotonic()
     results = []
@@ -84,7 +89,8 @@
                 break
             for result in pool.map(partial(play_one, defect=defect, logs=logs), plans[start : start + jobs]):
                 results.append(result)
-                again = f"cloverwell lab soak {f'--faults {faults}' if faults else f'--seeds {result.seed}'}"
+                seed = "" if how.startswith("--faults") else f"--seeds {result.seed}"
+                again = " ".join(word for word in ("cloverwell lab soak", how, seed) if word)
                 again += f" --defect {defect}" if defect else ""
                 click.echo(json.dumps(result.as_json()) if as_json else result.as_text(again))
     return results
--- a/lab/soak/defects.py
+++ b/lab/soak/defects.py
@@ -55,8 +55,20 @@
     Dispatcher.client_disconnected = ignore  # type: ignore
 
 
+def put_in_memory_without_bound() -> None:
+    """The budget of memory grants whatever is asked for."""
+    from cloverwell.memory_budget import MemoryBudget
+
+    def ignore(budget: MemoryBudget, _limit_bytes: float, _rest_bytes: float) -> None:
+        """Set no bound."""
+        budget.set_total(float("inf"))
+
+    MemoryBudget.resize = ignore  # type: ignore
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "drain-without-end": put_in_drain_without_end,
     "flush-past-kill": put_in_flush_past_the_kill,
     "attempt-after-leave": put_in_attempt_after_leave,
+    "memory-without-bound": put_in_memory_without_bound,
 }
--- a/lab/soak/plan.py
+++ b/lab/soak/plan.py
@@ -17,6 +17,8 @@
 LONGEST_DEADLINES_S = (0.3, 0.4, 1.0, 2.5, 5.0)
 NODES = 3
 SOCKETS, CROWDED_SOCKETS = 384, 96
+HOSTILE_SOCKETS = 1024  # as many as a page names with the least memory
+MEMORY_MB = 192.0
 CROWD_ONE_IN = 4  # so many runs have a crowd
 FIRST_FAULT_S = 1.0
 AFTER_LAST_S = 1.5  # the load goes on for so long behind the last fault
@@ -61,11 +63,15 @@
     longest_deadline_s: float = 1.0
     proxies: int = 2
     crowd: bool = False
+    hostile: dict[str, int] = msgspec.field(default_factory=dict)  # the number of each kind, at each proxy
+    memory_mb: float = MEMORY_MB
     faults: list[Fault] = msgspec.field(default_factory=list)
 
     @property
     def sockets(self) -> int:
         """The descriptors of each process."""
+        if self.hostile:
+            return HOSTILE_SOCKETS
         return CROWDED_SOCKETS if self.crowd else SOCKETS
 
     @property
--- a/lab/soak/processes.py
+++ b/lab/soak/processes.py
@@ -129,7 +129,7 @@
             "name": self.name,
             "listen": "{}:{}".format(*self.address),
             "discovery": "{}:{}".format(*self.discovery.address),
-            "limits": {"sockets": self._plan.sockets, "memory_mb": 192.0},
+            "limits": {"sockets": self._plan.sockets, "memory_mb": self._plan.memory_mb},
             "settings": SETTINGS | {"classes": classes, "peers-total": peers_total},
             "known": {"revision": 0, "complete": True, "members": self._members},
         }
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -10,13 +10,15 @@
 from lab.loopback.event_time import EventTime
 from lab.loopback.nodes import CacheNode, DiscoveryMode, NodeMode, Origin
 from lab.member_row import IN_SERVICE, MemberRow
+from lab.soak.crowds import MEMORY_RULE, HostileCrowd, MemoryWatch
 from lab.soak.faults import FaultPlayer
 from lab.soak.oracle import Oracle
 from lab.soak.plan import NODES, SoakPlan
 from lab.soak.processes import ProxySeat, SoakStartError
 from lab.soak.result import SoakResult, Verdict
 
-# A machine on which this process alone waits so long for its turn says nothing about the proxies.
+# A machine on which this process alone waits so long for its turn says nothing about the proxies, except that
+# they take too much memory.
 MAX_LATE_S = 0.25
 LOG_FAULTS = (" warn fault: ", " warn overdue: ")
 
@@ -30,11 +32,12 @@
         self._folder = folder
         self._defect = defect
         self._event_time = EventTime()
-        self._oracle = Oracle(self._event_time, plan.crowd)
+        self._oracle = Oracle(self._event_time, plan.crowd or bool(plan.hostile))
         checker = self._oracle.checker
         self._nodes = [CacheNode(f"s{number}", checker, self._event_time) for number in range(NODES)]
         self._origin = Origin(checker, self._event_time)
         self._seats: list[ProxySeat] = []
+        self._hostile: list[HostileCrowd] = []
 
     async def play(self) -> SoakResult:
         """Return what came of it; the run ends by itself."""
@@ -65,6 +68,8 @@
         self._oracle.zero_s = time.monotonic()
         for seat in self._seats:
             seat.clients.start(self._plan.crowd)
+        if self._plan.hostile:
+            self._hostile = [HostileCrowd(seat, self._plan.hostile) for seat in self._seats]
 
     def _members(self) -> list[MemberRow]:
         rows = [self._row(node.name, node.address, "large") for node in self._nodes]
@@ -84,15 +89,24 @@
         )
 
     async def _play_faults(self) -> None:
+        memory = MemoryWatch(self._seats, self._oracle, self._plan.memory_mb)
+        memory.start()
         player = FaultPlayer(self._plan, self._seats, self._nodes, self._origin, self._oracle)
         for fault in self._plan.faults:
             await self._until(fault.at_s)
             player.begin(fault)
         await self._until(self._plan.duration_s)
         await player.finish()
+        memory.stop()
+        self._end_hostile()
         self._calm()
         await asyncio.gather(*(seat.clients.stop() for seat in self._seats))
 
+    def _end_hostile(self) -> None:
+        for crowd in self._hostile:
+            crowd.stop()
+        self._hostile = []
+
     async def _until(self, at_s: float) -> None:
         await asyncio.sleep(max(0.0, self._oracle.zero_s + at_s - time.monotonic()))
 
@@ -105,6 +119,7 @@
             seat.discovery.mode = DiscoveryMode.NORMAL
 
     async def _stop(self) -> None:
+        self._end_hostile()
         for seat in self._seats:
             seat.kill_all()
             await seat.discovery.stop()
@@ -124,7 +139,7 @@
         verdict, why = Verdict.PASSED, ""
         if faults:
             verdict, why = Verdict.NOT_RUN, f"a stand-in failed: {faults[0]!r}"
-        elif late_s > MAX_LATE_S:
+        elif late_s > MAX_LATE_S and not any(breach.rule == MEMORY_RULE for breach in breaches):
             verdict, why = Verdict.NOT_RUN, f"the machine was too busy: {late_s:.2f} s without a turn"
         elif breaches:
             verdict = Verdict.BROKEN
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 from lab.cli import lab
 from lab.loopback.event_time import EventTime
 from lab.loopback.requests import Request, new_name
+from lab.soak.crowd_plan import HOSTILE_KINDS, draw_crowd_plan
 from lab.soak.defects import DEFECTS
 from lab.soak.oracle import CROSSING_S, Oracle
 from lab.soak.plan import FaultKind, SoakInputError, check_plan, draw_plan, load_plan, read_seeds
@@ -30,13 +31,15 @@
     "drain-without-end": ("drain of a process", 11),
     "flush-past-kill": ("kill", 14),
     "attempt-after-leave": ("left", 11),
+    "memory-without-bound": ("memory", 30),
 }
+CROWD_SEEDS = (30, 58)
 TRIES_TO_JUDGE = 3
 
 
-def judged(seed, defect=""):
+def judged(seed, defect="", draw=draw_plan):
     for _ in range(TRIES_TO_JUDGE):
-        result = asyncio.run(play(draw_plan(seed), defect))
+        result = asyncio.run(play(draw(seed), defect))
         if result.verdict is not Verdict.NOT_RUN:
             return result
     pytest.fail(f"not judged: {result.why}")
@@ -52,13 +55,20 @@
     assert result.counts["served"] > 200
 
 
+@pytest.mark.parametrize("seed", CROWD_SEEDS)
+def test_a_short_run_with_little_memory_and_a_hostile_crowd_breaks_no_rule(seed):
+    result = judged(seed, draw=draw_crowd_plan)
+    assert result.verdict is Verdict.PASSED, result.as_text(f"cloverwell lab soak --crowds --seeds {seed}")
+    assert result.counts["served"] > 200
+
+
 @pytest.mark.parametrize("defect", DEFECTS)
 def test_each_defect_that_is_put_in_is_found_by_the_short_run(defect):
     rule, seed = SHOWN_BY[defect]
-    result = judged(seed, defect)
+    result = judged(seed, defect, draw_crowd_plan if rule == "memory" else draw_plan)
     found = {breach.rule for breach in result.breaches}
     assert rule in found, result.as_text("")
-    assert any(breach.story for breach in result.breaches) or rule == "kill"
+    assert any(breach.story for breach in result.breaches) or rule in ("kill", "memory")
 
 
 # Plans --------------------------------------------------------------------------------------------
@@ -77,6 +87,21 @@
     assert 10 < crowds < 45
 
 
+def test_a_seed_draws_the_same_crowd_each_time_with_all_kinds_and_early_kills():
+    kinds, sizes = set(), set()
+    for seed in range(1, 101):
+        plan = draw_crowd_plan(seed)
+        assert plan == draw_crowd_plan(seed)
+        check_plan(plan, "drawn")
+        kinds |= set(plan.hostile)
+        sizes.add(plan.memory_mb)
+        own = [fault for fault in plan.faults if fault.target == plan.proxies - 1]
+        own = [fault.kind for fault in own if fault.kind in (FaultKind.KILL, FaultKind.START)]
+        assert own == [FaultKind.KILL, FaultKind.START] * 2
+    assert kinds == set(HOSTILE_KINDS)
+    assert min(sizes) == 32.0
+
+
 def test_the_short_run_has_every_end_of_a_process():
     kinds = {fault.kind for seed in SHORT_SEEDS for fault in draw_plan(seed).faults}
     assert kinds >= {
