--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from cloverwell import facade as balancer_facade
+from cloverwell.attempt_log import AttemptLog
 from cloverwell.back.pools import NodePools
 from cloverwell.connections.unsent_retry import UnsentRequest, retry_at_ms
 from cloverwell.counters import Counters
@@ -55,6 +56,7 @@
         self._memory = pools.memory
         self._log = log
         self._counters = counts
+        self._attempt_log = AttemptLog(log, counts)
         self._open: dict[str, Request] = {}  # by request id
         self._to_cancel: deque[Request] = deque()  # requests whose clients have disconnected
         self._is_carrying_out = False
@@ -280,7 +282,7 @@
             created_ms=now,
         )
         if decision.number:
-            self._log_further_attempt(attempt)
+            self._attempt_log.further_attempt(attempt)
         request.attempts[decision.number] = attempt
         attempt.timer = self._timer_wheel.call_not_before(deadline_ms, lambda: self._time_out(attempt))
         if request.earliest_next_attempt_ms > now:
@@ -288,18 +290,6 @@
         else:
             pool.start(attempt)
 
-    def _log_further_attempt(self, attempt: Attempt) -> None:
-        """Logs a retry or a hedged request. The fetch from the origin after a miss is neither."""
-        request = attempt.request
-        if request.attempts:
-            cause = "hedged"
-        elif request.last_outcome in (None, AttemptOutcome.MISS):
-            return
-        else:
-            cause = f"after {request.last_outcome.value.value}"
-        node, number = attempt.decision.node, attempt.decision.number
-        self._log.info("retry", f"request {request.id}: attempt {number} at {node}, {cause}")
-
     def _start_after_close(self, attempt: Attempt) -> None:
         """Starts an attempt once the close of the attempt before it has reached that attempt's node.
 
@@ -323,7 +313,7 @@
         self._counters.add(f"{attempt.pool.kind}.{outcome.value.value}")
         request.attempts.pop(attempt.decision.number, None)
         request.last_outcome = outcome
-        self._count_exceeded_deadline(attempt)
+        self._attempt_log.count_exceeded_deadline(attempt)
         if outcome not in balancer_facade.NEVER_RAN and attempt.written_ms is not None:
             from_ms = attempt.written_earliest_ms
             request.first_possible_run_ms = min(request.first_possible_run_ms or from_ms, from_ms)
@@ -373,15 +363,6 @@
     def _answer_by_ms(self, request: Request) -> float:
         return min(request.deadline_ms, self._answer_all_by_ms)
 
-    def _count_exceeded_deadline(self, attempt: Attempt) -> None:
-        """Counts an attempt whose propagated deadline was later than its client's, which is a fault."""
-        if attempt.written_ms is None:
-            return
-        excess_ms = attempt.exceeded_deadline_by_ms(attempt.written_ms)
-        if excess_ms > 0.0:
-            self._counters.add("deadline.exceeded_at_send")
-            self._counters.record_max("deadline.exceeded_at_send_ms", excess_ms)
-
     def _fail_at_deadline(self, request: Request) -> None:
         """Ends a request that is still open at its deadline, which happens only if this program has a fault.
 
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -43,7 +43,7 @@
     ("cloverwell.request",),
     ("cloverwell.membership.endpoint_list",),
     ("cloverwell.back",),
-    ("cloverwell.dispatcher", "cloverwell.membership"),
+    ("cloverwell.attempt_log", "cloverwell.dispatcher", "cloverwell.membership"),
     ("cloverwell.front",),
     ("cloverwell.config", "cloverwell.memory_monitor"),
     ("cloverwell.control", "cloverwell.handover"),
