Read from nodes by the memory that is left for prompt answers

Callers saw: beside a mixed crowd with 48 or 64 MB told, 82 of 128 and 57 of 260 usual requests were rejected, most as crowded. Cause: what is read from a node at once shrank with the memory that is left for slow peers, down to 4 KB: a value of 60 KB took 15 turns of the event loop, its latency rose, and the balancer dropped reads (refused.crowded 2,989 in 5 s). Change: reads from nodes go by what is left for prompt answers; streamed values and clients by what is left for slow peers, as before.

--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -108,7 +108,7 @@
         if not self.attempts and self._is_unusable():
             return SendResult.BROKEN
         attempt.propagated_ms = left_ms
-        self.transport.bufferSize = self._memory.read_bytes(LEAST_READ_BYTES, MAX_READ_BYTES)
+        self.transport.bufferSize = self._memory.read_bytes(Urgency.PROMPT, LEAST_READ_BYTES, MAX_READ_BYTES)
         data = self.encode_command(attempt)
         unwritten = data[-1:] if use is ConnectionUse.HOLD_LAST_BYTE else b""
         held_back = self.try_write_command(data[:-1] if unwritten else data)
@@ -248,7 +248,7 @@
             length, self.hold, self.release, lambda: self.drop(NodeCloseReason.VALUE_DROPPED)
         )
         self.last_stream_data_ms = self._pool.now()
-        self.transport.bufferSize = self._memory.read_bytes(LEAST_READ_BYTES, STREAM_READ_BYTES)
+        self.transport.bufferSize = self._memory.read_bytes(Urgency.SLOW, LEAST_READ_BYTES, STREAM_READ_BYTES)
         self.expect_pieces(length)
         self.hold()  # Reading continues once the earlier answers to the same client have been sent.
         attempt.end(AttemptOutcome.SERVED, stream)
--- a/cloverwell/front/client_reader.py
+++ b/cloverwell/front/client_reader.py
@@ -51,7 +51,7 @@
         """Return how many bytes are read from the socket at once."""
         if self._reads_little:
             return BACKLOG_READ_BYTES
-        return self._memory.read_bytes(BACKLOG_READ_BYTES, MAX_READ_BYTES)
+        return self._memory.read_bytes(Urgency.SLOW, BACKLOG_READ_BYTES, MAX_READ_BYTES)
 
     @property
     def incoming_urgency(self) -> Urgency:
--- a/cloverwell/memory_budget.py
+++ b/cloverwell/memory_budget.py
@@ -25,7 +25,7 @@
 
 
 LARGEST_READ_BYTES = 64 * 1024  # the most bytes that are read from a peer, or granted, at once
-READ_SHARE = 1.0 / 32.0  # of the memory that is left for slow peers, read from one peer at once
+READ_SHARE = 1.0 / 32.0  # of the memory that is left for peers of its urgency, read from one at once
 
 
 class MemoryUse(IntEnum):
@@ -100,11 +100,11 @@
         """Return how many more bytes are granted now; 0 or less if none are."""
         return urgency * self.total_bytes - self.held_bytes - self._unaccounted_bytes
 
-    def read_bytes(self, least_bytes: int, most_bytes: int) -> int:
+    def read_bytes(self, urgency: Urgency, least_bytes: int, most_bytes: int) -> int:
         """Return how many bytes are read from a peer at once; the fewer, the less memory is left."""
         if self.held_bytes <= self.ample_bytes:
             return most_bytes
-        return int(max(least_bytes, min(most_bytes, READ_SHARE * self.room(Urgency.SLOW))))
+        return int(max(least_bytes, min(most_bytes, READ_SHARE * self.room(urgency))))
 
     def grants(self, urgency: Urgency, size_bytes: int = 0) -> bool:
         """Return whether so many more bytes may be held."""
