Fail, and do not reject, a read without memory that must not run twice

Callers could see: a rejection says that nothing has run, so a client may send a read of a class that is not idempotent again; a node had run it before its value was refused for want of memory. Change: such a read is failed. An id whose client left before the other process of an upgrade had confirmed it is released. The calls that give free memory back come less often where they have no effect. The lines and counts of rejected and failed requests moved to request_log.py.

--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 
 from cloverwell import facade as balancer_facade
-from cloverwell.attempt_log import AttemptLog
 from cloverwell.back.pools import NodePools
 from cloverwell.connections.unsent_retry import UnsentRequest, retry_at_ms
 from cloverwell.counters import Counters
@@ -21,6 +20,7 @@
 from cloverwell.log import Log
 from cloverwell.memory_budget import REQUEST_BYTES, MemoryUse
 from cloverwell.request import Attempt, AttemptBody, Failed, NoMemory, Rejected, Request, Served
+from cloverwell.request_log import RequestLog
 from cloverwell.timer_wheel import TimerWheel
 
 # The dispatcher fails a request that is still open this long before its client gives up. The balancer ends
@@ -56,7 +56,7 @@
         self._memory = pools.memory
         self._log = log
         self._counters = counts
-        self._attempt_log = AttemptLog(log, counts)
+        self._request_log = RequestLog(log, counts)
         self._open: dict[str, Request] = {}  # by request id
         self._to_cancel: deque[Request] = deque()  # requests whose clients have disconnected
         self._is_carrying_out = False
@@ -110,7 +110,8 @@
         """Begins a request that must not run twice, unless its id has run or may still run."""
         request.holds_id = result is ClaimResult.GRANTED
         if request.is_over:
-            pass
+            if request.holds_id:
+                self._id_claims.release(request.id)
         elif result is ClaimResult.GRANTED:
             self._begin(request)
         elif result is ClaimResult.HELD:
@@ -121,7 +122,7 @@
         self._forget_if_done(request)
 
     def _fail_as_twice(self, request: Request) -> None:
-        self._record_failure(request, "twice")
+        self._request_log.failed(request, "twice")
         request.complete(Failed())
 
     def _begin(self, request: Request) -> None:
@@ -140,7 +141,7 @@
         """
         failed = [request for request in self._open.values() if not request.is_over]
         for request in failed:
-            self._record_failure(request, "ending")
+            self._request_log.failed(request, "ending")
             self._answer_as_failed(request)
         for request in failed:
             self._time_out_attempts(request)
@@ -238,7 +239,7 @@
                 request.complete(Rejected(retry_after_ms))
                 self._forget_if_done(request)
             case balancer_facade.FailRequest(_, reason):
-                self._record_failure(request, reason)
+                self._request_log.failed(request, reason)
                 request.complete(Failed())
                 self._forget_if_done(request)
 
@@ -247,14 +248,17 @@
         self.record_rejection(request.id, "memory")
         request.complete(Rejected(self._facade.settings.max_retry_after_ms))
 
+    def _end_for_memory(self, request: Request) -> None:
+        """Ends a request whose answer has no memory. It has run: only an idempotent one may be rejected."""
+        if balancer_facade.is_idempotent(self._facade.settings, request.class_number):
+            self.reject_for_memory(request)
+        else:
+            self._request_log.failed(request, "memory")
+            request.complete(Failed())
+
     def record_rejection(self, request_id: str, reason: str) -> None:
         """Logs and counts a rejected request, also one that the clients' side rejects by itself."""
-        self._counters.add(f"refused.{reason}")
-        self._log.info("refused", f"request {request_id}: {reason}")
-
-    def _record_failure(self, request: Request, reason: str) -> None:
-        self._counters.add(f"failed.{reason}")
-        self._log.info("failed", f"request {request.id}: {reason}")
+        self._request_log.rejected(request_id, reason)
 
     def _start_attempt(self, decision: balancer_facade.SendAttempt, request: Request) -> None:
         now = self._timer_wheel.now()
@@ -282,7 +286,7 @@
             created_ms=now,
         )
         if decision.number:
-            self._attempt_log.further_attempt(attempt)
+            self._request_log.further_attempt(attempt)
         request.attempts[decision.number] = attempt
         attempt.timer = self._timer_wheel.call_not_before(deadline_ms, lambda: self._time_out(attempt))
         if request.earliest_next_attempt_ms > now:
@@ -313,12 +317,12 @@
         self._counters.add(f"{attempt.pool.kind}.{outcome.value.value}")
         request.attempts.pop(attempt.decision.number, None)
         request.last_outcome = outcome
-        self._attempt_log.count_exceeded_deadline(attempt)
+        self._request_log.count_exceeded_deadline(attempt)
         if outcome not in balancer_facade.NEVER_RAN and attempt.written_ms is not None:
             from_ms = attempt.written_earliest_ms
             request.first_possible_run_ms = min(request.first_possible_run_ms or from_ms, from_ms)
         if isinstance(body, NoMemory):
-            self.reject_for_memory(request)
+            self._end_for_memory(request)
         elif outcome is AttemptOutcome.SERVED:
             request.complete(Served(body))
         decision = self._facade.report(attempt.decision, outcome, request.is_over)
--- a/cloverwell/facade.py
+++ b/cloverwell/facade.py
@@ -292,6 +292,11 @@
     return request_class.dedup_window_ms if request_class.idempotency is Idempotency.KEYED else None
 
 
+def is_idempotent(settings: api.Settings, class_number: int) -> bool:
+    """Returns whether a request of the class may be sent again at any time, also if it has run."""
+    return settings.classes[class_number].idempotency is Idempotency.SAFE
+
+
 def forbids_retry(settings: api.Settings, class_number: int) -> bool:
     """Returns whether a request of the class must not be sent again after an attempt that may have run."""
     return settings.classes[class_number].idempotency is Idempotency.UNSAFE
--- a/cloverwell/memory_monitor.py
+++ b/cloverwell/memory_monitor.py
@@ -14,7 +14,8 @@
 
 CHECK_INTERVAL_MS = 50.0
 LOG_INTERVAL_MS = 5000.0
-GIVE_BACK_INTERVAL_MS = 500.0  # between two calls that give memory back, which take some ms each
+# Between two calls that give memory back, which take some ms; the longer one behind calls without effect.
+GIVE_BACK_INTERVALS_MS = (500.0, 10_000.0)
 # So much memory may be free in the process, or taken by what no account knows, before it is given back.
 KEPT_FREE_BYTES = 512 * 1024
 
@@ -41,6 +42,7 @@
         self._rest_bytes = 0
         self._highest_bytes = 0  # since the last line of the log
         self._gave_back_ms = 0.0
+        self._give_back_interval_ms = GIVE_BACK_INTERVALS_MS[0]
         self._is_started = False
 
     def start(self) -> None:
@@ -71,14 +73,20 @@
     def _check(self) -> None:
         now = self._timer_wheel.now()
         self._timer_wheel.call_by(now + CHECK_INTERVAL_MS, self._check)
-        resident = self._observe()
-        unaccounted_bytes = resident - self._rest_bytes - self._memory.held_bytes
-        if unaccounted_bytes > KEPT_FREE_BYTES and now - self._gave_back_ms >= GIVE_BACK_INTERVAL_MS:
-            self._gave_back_ms = now
-            if self._memory.is_exceeded:
-                gc.collect()
-            give_back_free_memory()
-            self._observe()
+        before_bytes = self._observe()
+        unaccounted_bytes = before_bytes - self._rest_bytes - self._memory.held_bytes
+        if self._memory.is_exceeded:
+            self._give_back_interval_ms = GIVE_BACK_INTERVALS_MS[0]
+        if unaccounted_bytes <= KEPT_FREE_BYTES or now - self._gave_back_ms < self._give_back_interval_ms:
+            return
+        self._gave_back_ms = now
+        if self._memory.is_exceeded:
+            gc.collect()
+        give_back_free_memory()
+        has_effect = before_bytes - self._observe() >= KEPT_FREE_BYTES // 4
+        shortest_ms, longest_ms = GIVE_BACK_INTERVALS_MS
+        longer_ms = min(longest_ms, 2.0 * self._give_back_interval_ms)
+        self._give_back_interval_ms = shortest_ms if has_effect else longer_ms
 
     def _observe(self) -> int:
         resident = self._read_resident_bytes()
--- a/cloverwell/program.py
+++ b/cloverwell/program.py
@@ -39,8 +39,8 @@
 def tune_garbage_collector() -> None:
     """Excludes the objects that exist now from garbage collection, and collects newer ones rarely.
 
-    Collection can't be switched off: every connection is a reference cycle (of transport and protocol), which
-    only a collection frees.
+    Collection can't be switched off: closed connections are freed without it, but Twisted's failures and what
+    ends by an exception may be reference cycles.
     """
     gc.collect()
     gc.freeze()
--- a/cloverwell/attempt_log.py
+++ b/cloverwell/request_log.py
@@ -1,21 +1,31 @@
-"""Logs and counts what is noteworthy about single attempts."""
+"""Logs and counts what is noteworthy about single requests and attempts."""
 
 from __future__ import annotations
 
 from cloverwell.counters import Counters
 from cloverwell.facade import AttemptOutcome
 from cloverwell.log import Log
-from cloverwell.request import Attempt
+from cloverwell.request import Attempt, Request
 
 
-class AttemptLog:
-    """Writes the `retry` lines, and counts attempts that told their nodes too much time."""
+class RequestLog:
+    """Writes the `refused`, `failed` and `retry` lines, and counts exceeded deadlines."""
 
     def __init__(self, log: Log, counters: Counters) -> None:
-        """Set up a log of attempts."""
+        """Set up a log of requests."""
         self._log = log
         self._counters = counters
 
+    def rejected(self, request_id: str, reason: str) -> None:
+        """Log and count a rejected request."""
+        self._counters.add(f"refused.{reason}")
+        self._log.info("refused", f"request {request_id}: {reason}")
+
+    def failed(self, request: Request, reason: str) -> None:
+        """Log and count a failed request."""
+        self._counters.add(f"failed.{reason}")
+        self._log.info("failed", f"request {request.id}: {reason}")
+
     def further_attempt(self, attempt: Attempt) -> None:
         """Log a retry or a hedged request. The fetch from the origin after a miss is neither."""
         request = attempt.request
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -43,7 +43,7 @@
     ("cloverwell.request",),
     ("cloverwell.membership.endpoint_list",),
     ("cloverwell.back",),
-    ("cloverwell.attempt_log", "cloverwell.dispatcher", "cloverwell.membership"),
+    ("cloverwell.request_log", "cloverwell.dispatcher", "cloverwell.membership"),
     ("cloverwell.front",),
     ("cloverwell.config", "cloverwell.memory_monitor"),
     ("cloverwell.control", "cloverwell.handover"),
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -164,6 +164,16 @@
     assert "refused: request 1: memory" in proxy.log.getvalue()
 
 
+def test_a_read_that_must_not_run_twice_is_failed_if_there_is_no_memory_for_its_value(proxy):
+    # The fault: a rejection says that nothing has run, and its client would send it again.
+    proxy.service.memory.set_total(70_000)
+    conn = proxy.client(read(1, cls="order"))
+    node = proxy.nodes[0].accept()
+    proxy.run_iterations(5)
+    node.sendall(b"VA 60000 O1\r\n")
+    assert proxy.receive_until(conn, b"\r\n") == b"SERVER_ERROR failed\r\n"
+
+
 def test_a_request_without_memory_is_rejected_at_once(proxy):
     proxy.service.memory.set_total(24_000)
     first, conn = proxy.client(), proxy.client()
