Ask the budget of memory only where it may be short

Cause: each request asked the budget several times, also where ample memory is left. Change: requests and answers compare two numbers first; a written response that was never charged is not released. A new test holds that nothing is charged once responses have been written.

--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -220,7 +220,9 @@
 
     def has_memory_for(self, size_bytes: int) -> bool:
         """Returns whether so many bytes may be held for the answer to the oldest attempt."""
-        return self._memory.grants(self.attempts[0].request.memory_urgency(), size_bytes)
+        memory = self._memory
+        is_ample = memory.held_bytes <= memory.ample_bytes
+        return is_ample or memory.grants(self.attempts[0].request.memory_urgency(), size_bytes)
 
     def memory_refused(self) -> None:
         """Discards the rest of a value; the beginning of a line is short, and read in any case."""
--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -81,7 +81,9 @@
         request.time_left_ms = min(request.time_left_ms, self._answer_all_by_ms - now)
         request.deadline_ms = now + request.time_left_ms
         size_bytes = REQUEST_BYTES + len(request.value)
-        if not self._memory.grants(request.memory_urgency(), size_bytes):
+        memory = self._memory
+        is_short = memory.held_bytes > memory.ample_bytes
+        if is_short and not memory.grants(request.memory_urgency(), size_bytes):
             self.reject_for_memory(request)
             return
         if request.id in self._open:
@@ -95,7 +97,7 @@
             return
         self._open[request.id] = request
         request.held_bytes = size_bytes
-        self._memory.change(MemoryUse.REQUESTS, size_bytes)
+        memory.change(MemoryUse.REQUESTS, size_bytes)
         request.deadline_timer = self._timer_wheel.call_by(
             request.deadline_ms - DEADLINE_MARGIN_MS, lambda: self._fail_at_deadline(request)
         )
@@ -104,7 +106,8 @@
                 request.id, request.deadline_ms, lambda result: self._claim_ended(request, result)
             )
         else:
-            self._begin(request)
+            self._carry_out(self._facade.decide(request), request)
+            self.carry_out_due_decisions()
 
     def _claim_ended(self, request: Request, result: ClaimResult) -> None:
         """Begins a request that must not run twice, unless its id has run or may still run."""
@@ -113,7 +116,8 @@
             if request.holds_id:
                 self._id_claims.release(request.id)
         elif result is ClaimResult.GRANTED:
-            self._begin(request)
+            self._carry_out(self._facade.decide(request), request)
+            self.carry_out_due_decisions()
         elif result is ClaimResult.HELD:
             self._fail_as_twice(request)
         else:
@@ -125,10 +129,6 @@
         self._request_log.failed(request, "twice")
         request.complete(Failed())
 
-    def _begin(self, request: Request) -> None:
-        self._carry_out(self._facade.decide(request), request)
-        self.carry_out_due_decisions()
-
     def answer_all_by(self, when_ms: float) -> None:
         """Has all open and later requests answered by `when_ms`; infinity leaves each its own deadline."""
         self._answer_all_by_ms = when_ms
--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -67,11 +67,9 @@
             response.held_bytes = len(response.data) + RESPONSE_BYTES
             self._account.hold(self._account.held_bytes + response.held_bytes)
 
-    def _written(self, response: PendingResponse) -> None:
-        response.data = None
-        if response.held_bytes:
-            self._account.hold(max(0, self._account.held_bytes - response.held_bytes))
-            response.held_bytes = 0
+    def _release(self, response: PendingResponse) -> None:
+        self._account.hold(max(0, self._account.held_bytes - response.held_bytes))
+        response.held_bytes = 0
 
     @property
     def held_bytes(self) -> int:
@@ -106,14 +104,15 @@
             response = pending[0]
             if response.stream is not None and response.stream.stage is StreamStage.ENDED:
                 # The value broke off before any of it was sent, so an error can still be sent instead.
-                self._written(response)
                 data = response.data = FAILED
                 response.stream = None
             if response.stream is None and len(pending) > 1 and self._send_several():
                 continue
             if not self._connection.try_write(data):
                 return
-            self._written(response)
+            response.data = None
+            if response.held_bytes:
+                self._release(response)
             if response.stream is None:
                 pending.popleft()
             else:
@@ -133,7 +132,10 @@
         if len(known) < 2 or not self._connection.try_write(b"".join(known)):
             return False
         for _ in known:
-            self._written(self.pending.popleft())
+            response = self.pending.popleft()
+            response.data = None
+            if response.held_bytes:
+                self._release(response)
         return True
 
     def resume_stream(self) -> None:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -174,6 +174,16 @@
     assert proxy.receive_until(conn, b"\r\n") == b"SERVER_ERROR failed\r\n"
 
 
+def test_nothing_is_held_once_responses_have_been_written(proxy):
+    conn = proxy.client(b"mn\r\n" * 3 + read(1))
+    node = proxy.nodes[0].accept()
+    proxy.run_iterations(5)
+    node.sendall(b"VA 5 O1\r\nvalue\r\n")
+    proxy.receive_until(conn, b"value\r\n")
+    memory = proxy.service.memory
+    assert {use for use in MemoryUse if memory.held_by_use[use]} == {MemoryUse.CONNECTIONS}
+
+
 def test_a_request_without_memory_is_rejected_at_once(proxy):
     proxy.service.memory.set_total(24_000)
     first, conn = proxy.client(), proxy.client()
