Make one piece of code serve the floods of the crowd

Cause: four kinds of hostile clients and two tests had the same lines each. Change: one function sends again and again what another makes; the tests share the beginning of a connection.

--- a/lab/memory/crowd.py
+++ b/lab/memory/crowd.py
@@ -55,6 +55,10 @@
     return f"mg {key} v Oh{next(_numbers)} Pc=page,t=acme,d={wait_ms}\r\n".encode()
 
 
+def _reads(prefix: str, number: int) -> bytes:
+    return b"".join(_read(f"{prefix}{next(_numbers)}") for _ in range(number))
+
+
 def _write_head() -> bytes:
     number = next(_numbers)
     return f"ms w{number} {VALUE_BYTES} Oh{number} Pc=adjust,t=acme,d=2000,k=a{number}\r\n".encode()
@@ -110,65 +114,56 @@
     await stream.until_answered()
 
 
-async def many_fields(stream: Stream) -> None:
-    """Send heads of very many short fields, one after the other."""
-    head = b"mg k v" + b" a" * FIELDS_PER_HEAD + b"\r\n"
+async def _send_again_and_again(stream: Stream, make: Callable[[], bytes], pause_s: float = 0.0) -> None:
+    """Send what `make` returns, read some answers, and send again."""
     while True:
-        stream.writer.write(head * 4)
+        stream.writer.write(make())
+        await stream.writer.drain()
         if not await stream.reader.read(65_536):
             return
+        await asyncio.sleep(pause_s)
+
+
+async def many_fields(stream: Stream) -> None:
+    """Send heads of very many short fields, one after the other."""
+    head = b"mg k v" + b" a" * FIELDS_PER_HEAD + b"\r\n"
+    await _send_again_and_again(stream, lambda: head * 4)
 
 
 async def open_commands(stream: Stream) -> None:
     """Keep many commands open whose nodes never answer."""
-    while True:
-        stream.writer.write(b"".join(_read(f"hang{n}") for n in range(OPEN_COMMANDS)))
-        if not await stream.reader.read(65_536):
-            return
-        await asyncio.sleep(0.2)
+    await _send_again_and_again(stream, lambda: _reads("hang", OPEN_COMMANDS), 0.2)
 
 
 async def flood(stream: Stream) -> None:
     """Send hundreds of commands under ever new names at once, and read their answers."""
-    while True:
-        stream.writer.write(b"".join(_read(f"size10-{next(_numbers)}") for _ in range(FLOOD_COMMANDS)))
-        await stream.writer.drain()
-        if not await stream.reader.read(65_536):
-            return
-
-
-async def _send_again_and_again(stream: Stream, data: bytes) -> None:
-    while True:
-        stream.writer.write(data)
-        await stream.writer.drain()
-        if not await stream.reader.read(65_536):
-            return
+    await _send_again_and_again(stream, lambda: _reads("size10-", FLOOD_COMMANDS))
 
 
 async def probes(stream: Stream) -> None:
     """Ask at full speed whether the process serves."""
-    await _send_again_and_again(stream, b"mn\r\n" * FLOOD_COMMANDS)
+    await _send_again_and_again(stream, lambda: b"mn\r\n" * FLOOD_COMMANDS)
 
 
 async def unknown_commands(stream: Stream) -> None:
     """Send commands at full speed that nobody knows."""
-    await _send_again_and_again(stream, b"x\r\n" * FLOOD_COMMANDS)
+    await _send_again_and_again(stream, lambda: b"x\r\n" * FLOOD_COMMANDS)
 
 
 async def new_names(stream: Stream) -> None:
     """Send reads of ever new keys, ids, classes and tenants, none of which is known."""
-    while True:
+
+    def reads() -> bytes:
         numbers = [next(_numbers) for _ in range(FLOOD_COMMANDS)]
-        reads = [f"mg k{n} v On{n} Pc=class{n},t=tenant{n},d=2000\r\n" for n in numbers]
-        stream.writer.write("".join(reads).encode())
-        await stream.writer.drain()
-        if not await stream.reader.read(65_536):
-            return
+        return "".join(f"mg k{n} v On{n} Pc=class{n},t=tenant{n},d=2000\r\n" for n in numbers).encode()
+
+    await _send_again_and_again(stream, reads)
 
 
 async def unsound_writes(stream: Stream) -> None:
     """Send small writes at full speed whose values don't end where they should."""
-    await _send_again_and_again(stream, b"ms k 1 Ou1 Pc=adjust,t=acme,d=900,k=a\r\nabc\r\n" * FLOOD_COMMANDS)
+    write = b"ms k 1 Ou1 Pc=adjust,t=acme,d=900,k=a\r\nabc\r\n"
+    await _send_again_and_again(stream, lambda: write * FLOOD_COMMANDS)
 
 
 async def silent(stream: Stream) -> None:
--- a/tests/test_closed_connections_freed.py
+++ b/tests/test_closed_connections_freed.py
@@ -44,6 +44,15 @@
     conn.sendall(read(7))
 
 
+def connect(proxy):
+    """Returns a client's socket, the proxy's connections, and references to the new one and its transport."""
+    conn = proxy.client()
+    connections = proxy.service.client_connections.connections
+    proxy.run_until(lambda: len(connections) == 1)
+    (one,) = connections
+    return conn, connections, [weakref.ref(one), weakref.ref(one.transport)]
+
+
 SENT = [nothing, half_line, half_value, malformed, probe, read_unanswered]
 
 
@@ -53,10 +62,7 @@
 def test_the_connection_of_a_client_that_leaves_is_freed_at_once(rig, send, leave):
     # The fault: hundreds of connections a second added up to 16 MB between two collections.
     proxy = rig()
-    conn = proxy.client()
-    connections = proxy.service.client_connections.connections
-    proxy.run_until(lambda: len(connections) == 1)
-    found = [weakref.ref(one) for one in connections] + [weakref.ref(one.transport) for one in connections]
+    conn, connections, found = connect(proxy)
     send(conn)
     proxy.run_iterations(5)
     leave(conn)
@@ -69,10 +75,7 @@
 @pytest.mark.usefixtures("collector_off")
 def test_a_connection_that_the_proxy_closes_is_freed_at_once(rig, send):
     proxy = rig()
-    conn = proxy.client()
-    connections = proxy.service.client_connections.connections
-    proxy.run_until(lambda: len(connections) == 1)
-    found = [weakref.ref(one) for one in connections] + [weakref.ref(one.transport) for one in connections]
+    conn, connections, found = connect(proxy)
     send(conn)
     proxy.advance_clock(2500.0)
     conn.close()
