Serve some clients also where a process needs more memory than it was told

Callers could see: where the limit leaves nothing above the process at rest, half a megabyte that no account knows took the whole budget, and no connection would be accepted, not even the front's probe. Found by reading the change; on another machine the process may take more at rest than here. Change: at most half of the budget is taken off for what no account knows, and it has 1 MB at least. The new test's case granted nothing before, by the formula; that was not run.

--- a/cloverwell/memory_budget.py
+++ b/cloverwell/memory_budget.py
@@ -18,7 +18,10 @@
 # The share of the memory above that of the process at rest. The rest of it is for what lies between two
 # accounts: bytes that were just read, the overhead of the allocator, and objects of the event loop.
 BUDGET_SHARE = 0.6
-MIN_BUDGET_BYTES = 512 * 1024  # granted however little memory is told, since nothing could be served without
+MIN_BUDGET_BYTES = 1024 * 1024  # granted however little is told, since nothing could be served without it
+# The most that is taken off the budget for what no account knows, so that a process that needs more at rest
+# than it was told still serves usual requests.
+MAX_UNACCOUNTED_SHARE = 0.5
 # What each open connection and each open request takes besides its bytes.
 CONNECTION_BYTES = 4608
 REQUEST_BYTES = 4 * 1024
@@ -88,7 +91,8 @@
         """
         allowed_bytes = self.total_bytes * (1.0 / BUDGET_SHARE - 1.0)
         unaccounted_bytes = resident_bytes - rest_bytes - self.held_bytes
-        self._unaccounted_bytes = max(0.0, unaccounted_bytes - allowed_bytes)
+        most_bytes = MAX_UNACCOUNTED_SHARE * self.total_bytes
+        self._unaccounted_bytes = max(0.0, min(most_bytes, unaccounted_bytes - allowed_bytes))
         self._update_ample()
 
     @property
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -10,6 +10,7 @@
 from cloverwell.memory_budget import (
     BUDGET_SHARE,
     BYTES_PER_MB,
+    CONNECTION_BYTES,
     MIN_BUDGET_BYTES,
     MemoryAccount,
     MemoryBudget,
@@ -62,6 +63,15 @@
     )
 
 
+def test_a_process_that_takes_more_than_its_limit_at_rest_still_serves_some():
+    budget = MemoryBudget(math.inf)
+    budget.resize(24 * BYTES_PER_MB, 27 * BYTES_PER_MB)
+    budget.observe(40 * BYTES_PER_MB, 27 * BYTES_PER_MB)
+    assert budget.is_exceeded
+    assert not budget.grants(Urgency.SLOW, 1)
+    assert budget.grants(Urgency.PROMPT, 50 * CONNECTION_BYTES)
+
+
 def large_holders(parts):
     """The bytes of all large buffers that can be reached from these objects."""
     seen, queue, total = {id(LARGE)}, list(parts), 0
