Tell a full outgoing buffer from a closed connection, in types and in the log

Change: WriteResult and CommandWriteResult; the callers act as before. The close line says which write result closed the connection, how much room the outgoing buffer had, and what the first response waits for.

--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -18,6 +18,7 @@
 from cloverwell.codec.lines import BufferedLineReceiver
 from cloverwell.codec.socket_state import PEEK_FLAGS
 from cloverwell.codec.steady_socket import TryAgainError
+from cloverwell.codec.write_result import CommandWriteResult
 from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.connections.connection_loss import ConnectionLoss
 from cloverwell.connections.node_policy import ConnectionUse
@@ -110,15 +111,17 @@
         attempt.propagated_ms = left_ms
         self.transport.bufferSize = self._memory.read_bytes(Urgency.PROMPT, LEAST_READ_BYTES, MAX_READ_BYTES)
         data = self.encode_command(attempt)
-        unwritten = data[-1:] if use is ConnectionUse.HOLD_LAST_BYTE else b""
-        held_back = self.try_write_command(data[:-1] if unwritten else data)
-        if held_back is None:
+        unwritten_count = 1 if use is ConnectionUse.HOLD_LAST_BYTE else 0
+        result = self.try_write_command(data[:-1] if unwritten_count else data)
+        if result is CommandWriteResult.CLOSED or result is CommandWriteResult.NO_ROOM:
             return SendResult.BROKEN
         if not self.attempts:
             self._idle_age_ms, self._first_byte_ms = self.idle_age_ms(now), now
-        if unwritten := held_back + unwritten:
+        if result is CommandWriteResult.LAST_BYTE_UNSENT:
+            unwritten_count += 1
+        if unwritten_count:
             timer = self._pool.call_at(now + hold_ms, self._write_last_byte)
-            self._partial_write = PartialWrite(attempt, unwritten, timer)
+            self._partial_write = PartialWrite(attempt, data[-unwritten_count:], timer)
         else:
             self._record_written(attempt, now)
         return SendResult.WRITTEN
@@ -144,15 +147,21 @@
         if self._is_unusable() or partial.attempt.exceeded_deadline_by_ms(now) > 0.0:
             self.drop(NodeCloseReason.UNUSABLE)
             return
-        held_back = partial.unwritten if self._writing else self.try_write_command(partial.unwritten)
-        if held_back is None:
-            self.drop(NodeCloseReason.UNUSABLE)
-        elif held_back:
-            partial.unwritten = held_back
-            partial.timer = self._pool.call_at(self._pool.now() + self._pool.tick_ms, self._write_last_byte)
-        else:
-            self._partial_write = None
-            self._record_written(partial.attempt, now)
+        if self._writing:
+            self._write_last_byte_later(partial)
+            return
+        match self.try_write_command(partial.unwritten):
+            case CommandWriteResult.SENT:
+                self._partial_write = None
+                self._record_written(partial.attempt, now)
+            case CommandWriteResult.LAST_BYTE_UNSENT:
+                partial.unwritten = partial.unwritten[-1:]
+                self._write_last_byte_later(partial)
+            case CommandWriteResult.NO_ROOM | CommandWriteResult.CLOSED:
+                self.drop(NodeCloseReason.UNUSABLE)
+
+    def _write_last_byte_later(self, partial: PartialWrite) -> None:
+        partial.timer = self._pool.call_at(self._pool.now() + self._pool.tick_ms, self._write_last_byte)
 
     def _is_unusable(self) -> bool:
         """Returns whether the node has closed the connection or sent data that answers no attempt.
--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -15,6 +15,7 @@
 from cloverwell.codec.socket_state import unacknowledged_bytes
 from cloverwell.codec.steady_socket import install_steady_socket
 from cloverwell.codec.transport import StreamTransport
+from cloverwell.codec.write_result import CommandWriteResult, WriteResult
 from cloverwell.memory_budget import (
     CONNECTION_BYTES,
     MemoryAccount,
@@ -254,39 +255,41 @@
 
     # Outgoing --------------------------------------------------------------------------------
 
-    def try_write(self, data: bytes) -> bool:
-        """Sends or buffers all of the data and returns True.
-
-        Returns False, and sends nothing, if the buffer is too full or the connection has ended.
-        """
+    def try_write(self, data: bytes) -> WriteResult:
+        """Sends or buffers all of the data, or nothing of it."""
+        if self.ended:
+            return WriteResult.CLOSED
         size_bytes = len(data)
-        if self.ended or size_bytes > self._outgoing.room:
-            return False
+        if size_bytes > self._outgoing.room:
+            return WriteResult.NO_ROOM
         unsent = self._send_now(data)
         if unsent is None:
-            return False
+            return WriteResult.CLOSED
         self._written_bytes += size_bytes
         if unsent:
             self._append_outgoing(unsent)
-        return True
+        return WriteResult.ACCEPTED
 
-    def try_write_command(self, data: bytes) -> bytes | None:
+    def try_write_command(self, data: bytes) -> CommandWriteResult:
         """Sends or buffers a command, except its last byte if the socket does not take all of it at once.
 
-        Without its last byte a command can't run at the node. Returns the byte that the caller has to send
-        later, b"" if there is none, or None if nothing was sent or buffered.
+        Without its last byte a command can't run at the node. The caller has to send that byte later.
         """
-        if self.ended or len(data) > self._outgoing.room:
-            return None
+        if self.ended:
+            return CommandWriteResult.CLOSED
+        if len(data) > self._outgoing.room:
+            return CommandWriteResult.NO_ROOM
         unsent = self._send_now(data)
         if unsent is None:
-            return None
+            return CommandWriteResult.CLOSED
+        if not unsent:
+            return CommandWriteResult.SENT
         if len(unsent) > 1:
             self._append_outgoing(unsent[:-1])
-        return unsent[-1:]
+        return CommandWriteResult.LAST_BYTE_UNSENT
 
     def _send_now(self, data: bytes) -> bytes | None:
-        """Writes what the socket accepts at once; returns the other bytes, or None after an error."""
+        """Writes what the socket accepts at once; returns the other bytes, or None if it is closed."""
         if self._writing:
             return data
         # A write through the reactor costs two more system calls and an iteration of the event loop.
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -12,6 +12,7 @@
 from cloverwell.codec.meta import CommandFields
 from cloverwell.codec.socket_state import discard_unread, read_now, received_ago_ms
 from cloverwell.codec.transport import close_both_sides
+from cloverwell.codec.write_result import WriteResult
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.connections.closing import ClosingState
 from cloverwell.front.client_reader import ClientReader
@@ -200,7 +201,8 @@
         last_answer = f"last answer to {self._last_answered_id or 'no request'}"
         return (
             f"unread: {found.in_process_bytes} bytes buffered here, {found.in_kernel_bytes} in the kernel, "
-            f"{found.acknowledged_bytes} acknowledged, {last_answer}"
+            f"{found.acknowledged_bytes} acknowledged, room for {self._outgoing.room}, "
+            f"{self._responses.describe()}, {last_answer}"
         )
 
     @property
@@ -264,12 +266,17 @@
         self.end(abort=True)
         return self._responses.abandon()
 
-    def set_close_reason(self, reason: CloseReason) -> None:
-        """Record why the proxy closes the connection; only the first reason is kept."""
+    def set_close_reason(self, reason: CloseReason, refused: WriteResult | None = None) -> None:
+        """Record why the proxy closes the connection; only the first reason is kept.
+
+        `refused`: the result of the write that failed, if that is the reason.
+        """
         if self.close_reason is None:
             self.close_reason = reason
-            if self.delivery().undelivered_bytes:
-                self.undelivered_at_close = self.describe_delivery()
+            details = [self.describe_delivery()] if self.delivery().undelivered_bytes else []
+            if refused is not None:
+                details.append(f"write refused: {refused.value}")
+            self.undelivered_at_close = ", ".join(details)
 
     @property
     def open_request_ids(self) -> list[str]:
--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 from weakref import proxy
 
+from cloverwell.codec.write_result import WriteResult
 from cloverwell.connections.close_reason import CloseReason
 from cloverwell.front.connection_owner import ConnectionOwner
 from cloverwell.front.meta_answers import FAILED
@@ -33,14 +34,14 @@
     def has_unsent_responses(self) -> bool:
         """Return whether bytes of a response are still to be handed to the kernel."""
 
-    def try_write(self, data: bytes) -> bool:
-        """Send or buffer all of the data; return False if there is no room for it."""
+    def try_write(self, data: bytes) -> WriteResult:
+        """Send or buffer all of the data, or nothing of it."""
 
     def end(self, abort: bool = False) -> None:
         """Close the connection, after the outgoing bytes unless it is aborted."""
 
-    def set_close_reason(self, reason: CloseReason) -> None:
-        """Record why the proxy closes the connection."""
+    def set_close_reason(self, reason: CloseReason, refused: WriteResult | None = None) -> None:
+        """Record why the proxy closes the connection; `refused` is the result of a write that failed."""
 
     def send_responses(self) -> None:
         """Send the responses that are known; then close the connection or resume reading, as is due."""
@@ -97,6 +98,21 @@
         """Return the ids of the open requests, in the order of their commands."""
         return [response.request.id for response in self.pending if response.request is not None]
 
+    def describe(self) -> str:
+        """Return how many responses are pending, and what the first of them waits for, for the log."""
+        if not self.pending:
+            return "no response pending"
+        first = self.pending[0]
+        if self._stream is not None:
+            state = "a long value is being sent"
+        elif first.data is None:
+            state = "the first has no answer yet"
+        elif first.stream is not None:
+            state = "a long value waits for room"
+        else:
+            state = "the first waits for room"
+        return f"{len(self.pending)} responses pending ({state})"
+
     def send(self) -> None:
         """Send the responses that are known, in the order of the commands, as far as there is room."""
         pending = self.pending
@@ -108,7 +124,7 @@
                 response.stream = None
             if response.stream is None and len(pending) > 1 and self._send_several():
                 continue
-            if not self._connection.try_write(data):
+            if self._connection.try_write(data) is not WriteResult.ACCEPTED:
                 return
             response.data = None
             if response.held_bytes:
@@ -129,7 +145,9 @@
             if size_bytes > MAX_JOINED_BYTES:
                 break
             known.append(response.data)
-        if len(known) < 2 or not self._connection.try_write(b"".join(known)):
+        if len(known) < 2:
+            return False
+        if self._connection.try_write(b"".join(known)) is not WriteResult.ACCEPTED:
             return False
         for _ in known:
             response = self.pending.popleft()
@@ -180,8 +198,8 @@
             # The client can tell by the announced length that the value is incomplete.
             self._connection.end()
 
-    def stream_failed(self) -> None:
+    def stream_failed(self, refused: WriteResult) -> None:
         """Abort the connection, since a piece of a streamed value could not be sent."""
+        self._connection.set_close_reason(CloseReason.NOT_SENT, refused)
         self._stream = None
-        self._connection.set_close_reason(CloseReason.NOT_SENT)
         self._connection.end(abort=True)
--- a/cloverwell/front/response_stream.py
+++ b/cloverwell/front/response_stream.py
@@ -4,6 +4,7 @@
 
 from typing import Any, Protocol
 
+from cloverwell.codec.write_result import WriteResult
 from cloverwell.front.connection_owner import ConnectionOwner
 from cloverwell.streamed_value import StreamedValue
 
@@ -14,7 +15,7 @@
     def stream_ended(self, complete: bool) -> None:
         """Handle the end of the value, which may be incomplete."""
 
-    def stream_failed(self) -> None:
+    def stream_failed(self, refused: WriteResult) -> None:
         """Handle a piece of the value that could not be sent."""
 
 
@@ -25,8 +26,8 @@
     def unsent_bytes(self) -> int:
         """Return the number of bytes in the connection's outgoing buffer."""
 
-    def try_write(self, data: bytes) -> bool:
-        """Send or buffer all of the data; return False if there is no room for it."""
+    def try_write(self, data: bytes) -> WriteResult:
+        """Send or buffer all of the data, or nothing of it."""
 
 
 class ResponseStream:
@@ -62,10 +63,11 @@
         self._owner.stream_count -= 1
 
     def _send(self, data: bytes) -> None:
-        if not self._connection.try_write(data):
+        result = self._connection.try_write(data)
+        if result is not WriteResult.ACCEPTED:
             self.close()
             self._value.cancel()
-            self._stream_listener.stream_failed()
+            self._stream_listener.stream_failed(result)
         elif self._connection.unsent_bytes > self._owner.stream_buffer_bytes():
             self._value.pause_source()
 
