Have the line end behind a long value wait for room

Callers could see: where the last byte of a long value filled the outgoing buffer, its line end was dropped and the next answer stood in its place. No loss outside the test is known: with today's constants a value ends while at most some 96 KB of 1 MiB are buffered. Cause: ResponseQueue.stream_ended ignored the result of its write. Change: the line end becomes the response's remaining data, which the loop of short responses sends: it waits for room, in order, and is charged while it waits. Measured: tests/test_room_for_responses.py, 4 of 4 cases failed before, none after; 80 tests of streams, front and slow readers pass. The whole suite was not run on this commit.

--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -20,6 +20,7 @@
 # The limits of the responses that are joined for one write.
 MAX_JOINED_RESPONSES = 64
 MAX_JOINED_BYTES = 16 * 1024
+LINE_END = b"\r\n"  # ends a long value
 RESPONSE_BYTES = 200  # what a pending response takes besides its bytes
 
 
@@ -187,13 +188,16 @@
     def stream_ended(self, complete: bool) -> None:
         """Send the responses after a streamed value, or close the connection if the value is incomplete."""
         self._stream = None
-        self.pending.popleft()
+        response = self.pending[0]
+        response.stream = None
         if complete:
             self._stream_end_unsent = True
-            # There is room, since streams never fill the outgoing buffer.
-            self._connection.try_write(b"\r\n")
+            # The line end waits for room like a short response; nothing may be sent before it.
+            response.data = LINE_END
             self._connection.send_responses()
+            self.hold_unsent(response)
         else:
+            self.pending.popleft()
             self._connection.set_close_reason(CloseReason.BROKEN_VALUE)
             # The client can tell by the announced length that the value is incomplete.
             self._connection.end()
