Let a long value wait for room instead of resetting its client

Cause: ResponseStream took a refused write for a lost client. A piece had to be refused, since a long value began whatever the outgoing buffer held. Change: a long value begins by the condition by which its source is resumed, which leaves room for the largest piece; a piece without room is kept as the response's remaining data, charged, sent first, with its source paused. Why it works: every byte of a response now goes through one loop that keeps what is refused, and each wake-up (roomMade) runs it.

--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from itertools import islice
-from typing import Any, Protocol
+from typing import Any, Protocol, assert_never
 from weakref import proxy
 
 from cloverwell.codec.write_result import WriteResult
@@ -12,7 +12,7 @@
 from cloverwell.front.connection_owner import ConnectionOwner
 from cloverwell.front.meta_answers import FAILED
 from cloverwell.front.pending_response import PendingResponse
-from cloverwell.front.response_stream import ResponseStream
+from cloverwell.front.response_stream import ResponseStream, has_room_for_stream
 from cloverwell.memory_budget import MemoryAccount, MemoryUse
 from cloverwell.request import Request
 from cloverwell.streamed_value import StreamedValue, StreamStage
@@ -64,11 +64,18 @@
         self._account = MemoryAccount(owner.memory, MemoryUse.RESPONSES)
 
     def hold_unsent(self, response: PendingResponse) -> None:
-        """Charge a response that could not be written at once, until it is written."""
-        if response.data is not None and not response.held_bytes:
+        """Charge what of a response could not be written at once, until it is written."""
+        if response.data is not None:
+            if response.held_bytes:
+                self._release(response)
             response.held_bytes = len(response.data) + RESPONSE_BYTES
             self._account.hold(self._account.held_bytes + response.held_bytes)
 
+    def _record_sent(self, response: PendingResponse) -> None:
+        response.data = None
+        if response.held_bytes:
+            self._release(response)
+
     def _release(self, response: PendingResponse) -> None:
         self._account.hold(max(0, self._account.held_bytes - response.held_bytes))
         response.held_bytes = 0
@@ -119,21 +126,20 @@
         pending = self.pending
         while pending and (data := pending[0].data) is not None:
             response = pending[0]
-            if response.stream is not None and response.stream.stage is StreamStage.ENDED:
-                # The value broke off before any of it was sent, so an error can still be sent instead.
-                data = response.data = FAILED
-                response.stream = None
-            if response.stream is None and len(pending) > 1 and self._send_several():
+            if self._stream is not None:
+                self._send_piece(response, data)
+                self.resume_stream()
+                return
+            if response.stream is not None:
+                if not self._begin_stream(response, response.stream, data):
+                    return
+                continue
+            if len(pending) > 1 and self._send_several():
                 continue
             if self._connection.try_write(data) is not WriteResult.ACCEPTED:
                 return
-            response.data = None
-            if response.held_bytes:
-                self._release(response)
-            if response.stream is None:
-                pending.popleft()
-            else:
-                self._start_stream(response.stream)
+            self._record_sent(response)
+            pending.popleft()
 
     def _send_several(self) -> bool:
         """Send the short responses that are known with one write; return False if it sent none of them."""
@@ -151,15 +157,12 @@
         if self._connection.try_write(b"".join(known)) is not WriteResult.ACCEPTED:
             return False
         for _ in known:
-            response = self.pending.popleft()
-            response.data = None
-            if response.held_bytes:
-                self._release(response)
+            self._record_sent(self.pending.popleft())
         return True
 
     def resume_stream(self) -> None:
-        """Resume the source of a streamed value, if the client has read enough."""
-        if self._stream is not None:
+        """Resume the source of a streamed value, if its last piece is sent and the client has read enough."""
+        if self._stream is not None and self.pending[0].data is None:
             self._stream.resume()
 
     def abandon(self) -> list[Request]:
@@ -179,11 +182,48 @@
                 response.request = None  # breaks a reference cycle
         return open_requests
 
-    def _start_stream(self, value: StreamedValue) -> None:
+    # A long value ---------------------------------------------------------------------------------
+
+    def _begin_stream(self, response: PendingResponse, value: StreamedValue, head: bytes) -> bool:
+        """Begin to send a long value once there is room for its pieces; return False if it has to wait.
+
+        A value that breaks off before any of it was sent is replaced by an error.
+        """
+        if value.stage is StreamStage.ENDED:
+            response.data, response.stream = FAILED, None
+            return True
+        if not has_room_for_stream(self._connection, self._owner):
+            return False
+        if self._connection.try_write(head) is not WriteResult.ACCEPTED:
+            return False
+        self._record_sent(response)
         self._stream = ResponseStream(value, self, self._connection, self._owner)
         self._stream.start()
+        return True
 
-    # Called by the stream -------------------------------------------------------------------------
+    def piece_arrived(self, data: bytes) -> None:
+        """Send the next bytes of the value, or keep them until there is room for them."""
+        response = self.pending[0]
+        if response.data is not None:
+            data = response.data + data
+        response.data = data
+        self._send_piece(response, data)
+
+    def _send_piece(self, response: PendingResponse, data: bytes) -> None:
+        stream = self._stream
+        assert stream is not None  # Pieces come from a stream only.
+        result = self._connection.try_write(data)
+        match result:
+            case WriteResult.ACCEPTED:
+                self._record_sent(response)
+                stream.piece_sent()
+            case WriteResult.NO_ROOM:
+                stream.pause()
+                self.hold_unsent(response)
+            case WriteResult.CLOSED:
+                self._abort(result)
+            case _:
+                assert_never(result)
 
     def stream_ended(self, complete: bool) -> None:
         """Send the responses after a streamed value, or close the connection if the value is incomplete."""
@@ -193,7 +233,7 @@
         if complete:
             self._stream_end_unsent = True
             # The line end waits for room like a short response; nothing may be sent before it.
-            response.data = LINE_END
+            response.data = LINE_END if response.data is None else response.data + LINE_END
             self._connection.send_responses()
             self.hold_unsent(response)
         else:
@@ -202,8 +242,10 @@
             # The client can tell by the announced length that the value is incomplete.
             self._connection.end()
 
-    def stream_failed(self, refused: WriteResult) -> None:
+    def _abort(self, refused: WriteResult) -> None:
         """Abort the connection, since a piece of a streamed value could not be sent."""
         self._connection.set_close_reason(CloseReason.NOT_SENT, refused)
-        self._stream = None
+        if self._stream is not None:
+            self._stream.cancel()
+            self._stream = None
         self._connection.end(abort=True)
