Close a client's connection when the kernel refuses an answer

Callers could see: requests of a client that is gone went on until the kernel reported the end by an event or the next check of paused connections. No loss outside the test is known. Cause: ResponseQueue.send took each refused write for a full buffer, and waited for room on a connection that was gone. Change: WriteResult.CLOSED aborts the connection at once (not_sent), for any response. The whole suite was not run on this commit.

--- a/cloverwell/connections/close_reason.py
+++ b/cloverwell/connections/close_reason.py
@@ -16,7 +16,7 @@
     NO_MEMORY = "no_memory"  # There is no memory for the rest of the client's command.
     MALFORMED = "malformed"  # The bytes can't be divided into commands, or too many commands were malformed.
     BROKEN_VALUE = "broken_value"  # The long value that was being sent ended before its declared length.
-    NOT_SENT = "not_sent"  # A piece of a long value could not be sent.
+    NOT_SENT = "not_sent"  # The kernel refused a response, and so reports that the connection is gone.
     BY_CLIENT = "by_client"  # The client closed or reset the connection, with no open request.
     BY_CLIENT_MID_REQUEST = "left"  # The client closed or reset the connection, with an open request.
 
--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -136,10 +136,18 @@
                 continue
             if len(pending) > 1 and self._send_several():
                 continue
-            if self._connection.try_write(data) is not WriteResult.ACCEPTED:
-                return
-            self._record_sent(response)
-            pending.popleft()
+            result = self._connection.try_write(data)
+            match result:
+                case WriteResult.ACCEPTED:
+                    self._record_sent(response)
+                    pending.popleft()
+                case WriteResult.NO_ROOM:
+                    return
+                case WriteResult.CLOSED:
+                    self._abort(result)
+                    return
+                case _:
+                    assert_never(result)
 
     def _send_several(self) -> bool:
         """Send the short responses that are known with one write; return False if it sent none of them."""
@@ -154,6 +162,7 @@
             known.append(response.data)
         if len(known) < 2:
             return False
+        # If they are refused, the first of them is tried alone, and the result of that counts.
         if self._connection.try_write(b"".join(known)) is not WriteResult.ACCEPTED:
             return False
         for _ in known:
@@ -194,12 +203,20 @@
             return True
         if not has_room_for_stream(self._connection, self._owner):
             return False
-        if self._connection.try_write(head) is not WriteResult.ACCEPTED:
-            return False
-        self._record_sent(response)
-        self._stream = ResponseStream(value, self, self._connection, self._owner)
-        self._stream.start()
-        return True
+        result = self._connection.try_write(head)
+        match result:
+            case WriteResult.ACCEPTED:
+                self._record_sent(response)
+                self._stream = ResponseStream(value, self, self._connection, self._owner)
+                self._stream.start()
+                return True
+            case WriteResult.NO_ROOM:
+                return False
+            case WriteResult.CLOSED:
+                self._abort(result)
+                return False
+            case _:
+                assert_never(result)
 
     def piece_arrived(self, data: bytes) -> None:
         """Send the next bytes of the value, or keep them until there is room for them."""
@@ -243,7 +260,7 @@
             self._connection.end()
 
     def _abort(self, refused: WriteResult) -> None:
-        """Abort the connection, since a piece of a streamed value could not be sent."""
+        """Abort the connection, since the kernel reports with a write that it is gone."""
         self._connection.set_close_reason(CloseReason.NOT_SENT, refused)
         if self._stream is not None:
             self._stream.cancel()
