Send a watch again that the kernel refuses, and one that found no room

Callers could see: a change of the list known late, where the watch was never sent. No case outside the tests is known. Cause: WatchConnection.poll ignored the result of its write, so that a watch that was not sent looked like one that waits for a change. Change: a refused watch is reported like one whose connection is lost; one without room is sent when there is room. Measured: tests/test_refused_writes.py, its 3 tests of a watch failed before, none after.

--- a/cloverwell/membership/watch_connection.py
+++ b/cloverwell/membership/watch_connection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Protocol, cast
+from typing import Protocol, assert_never, cast
 
 from twisted.internet.address import IPv4Address, IPv6Address
 from twisted.internet.interfaces import IAddress
@@ -10,6 +10,7 @@
 from twisted.python.failure import Failure
 
 from cloverwell.codec.http import HttpReceiver, encode_request
+from cloverwell.codec.write_result import WriteResult
 from cloverwell.membership.endpoint_list import MAX_LIST_BYTES
 from cloverwell.memory_budget import MemoryBudget, MemoryUse
 from cloverwell.system_calls import connect_fault
@@ -63,6 +64,7 @@
         self._host = host
         self._reused = False  # True once an answer has arrived on this connection
         self._answer_begun = False
+        self._awaits_room = False  # whether the poll could not be written yet
 
     def memory_refused(self) -> None:
         """Read on: without the endpoint list no request can be served."""
@@ -82,7 +84,24 @@
         """Send a poll. The one before it must have been answered."""
         self._target = target
         self._answer_begun = False
-        self.try_write(encode_request("GET", target, self._host, {}))
+        self._send_poll()
+
+    def _send_poll(self) -> None:
+        result = self.try_write(encode_request("GET", self._target, self._host, {}))
+        self._awaits_room = result is WriteResult.NO_ROOM
+        match result:
+            case WriteResult.ACCEPTED | WriteResult.NO_ROOM:
+                return
+            case WriteResult.CLOSED:
+                self.end(abort=True)
+                self._report_lost_poll()
+            case _:
+                assert_never(result)
+
+    def roomMade(self) -> None:
+        """Send a poll that had to wait for room."""
+        if self._awaits_room:
+            self._send_poll()
 
     def answer_received(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Report an answer, after closing the connection if discovery closes it too."""
@@ -102,8 +121,10 @@
         """Report the end of the connection if a poll was pending on it."""
         was_expected = self.ended or self.ends_body(reason)
         super().connectionLost(reason)
-        if was_expected or not self._observer.is_current(self):
-            return
+        if not was_expected and self._observer.is_current(self):
+            self._report_lost_poll()
+
+    def _report_lost_poll(self) -> None:
         if self._reused and not self._answer_begun:
             # Discovery closed the idle connection while this poll was on its way. This must not count as a
             # failure, whose backoff would delay changes by up to half a second.
--- a/tests/test_refused_writes.py
+++ b/tests/test_refused_writes.py
@@ -6,16 +6,19 @@
 import errno
 
 import pytest
-from scenario import Player
+from held_client import HeldTransport
+from scenario import Player, Transport
+
+
+def refused_send(*_arguments):
+    """Fails as the kernel's send does on a connection that is gone."""
+    raise OSError(errno.EPIPE, "Broken pipe")
 
 
 def refuse_writes(transport):
     """Has the kernel refuse all further writes, although it reports no event of the connection."""
 
-    def send(_data):
-        raise OSError(errno.EPIPE, "Broken pipe")
-
-    transport.send = send
+    transport.send = refused_send
 
 
 @pytest.mark.parametrize("reading", ["paused", "going on"])
@@ -37,3 +40,42 @@
     assert transport.aborted
     assert ": not_sent, " in player.log.getvalue()
     assert "write refused: closed" in player.log.getvalue()
+
+
+NO_CHANGE = '{"revision":42,"complete":false,"members":[]}'
+
+
+def test_a_watch_that_the_kernel_refuses_is_sent_on_a_new_connection_at_once():
+    # The fault: a watch that was not sent looked like one that waits for a change, until its time was over.
+    player = Player()
+    player.play("wait 100\ndiscovery expect GET *after=41*")
+    refuse_writes(player.connection("discovery", 0)[1])
+    player.play(f"discovery send 200 {NO_CHANGE}\ndiscovery expect end\ndiscovery#2 expect GET *after=42*")
+    player.play("wait 1\ndiscovery#2 expect nothing")
+    assert player.next_requested_factory("discovery") is None
+
+
+def test_a_first_watch_that_the_kernel_refuses_counts_as_a_failed_call(monkeypatch):
+    player = Player()
+    player.play("wait 100")
+    with monkeypatch.context() as patch:
+        patch.setattr(Transport, "send", refused_send)
+        player.connection("discovery", 0)
+    assert "call failed: connection lost" in player.log.getvalue()
+    player.play("discovery expect end\nwait 620\ndiscovery#2 expect GET *after=41*")
+
+
+def test_a_watch_without_room_is_sent_once_there_is_some():
+    # The fault: a watch that found no room was dropped, and looked like one that waits for a change.
+    player = Player()
+    player.play("wait 100\ndiscovery expect GET *after=41*")
+    protocol, transport = player.connection("discovery", 0)
+    discovery = HeldTransport(transport)
+    player.play(f"discovery send 200 {NO_CHANGE}")
+    protocol._outgoing.bound = 0
+    player.play(f"discovery send 200 {NO_CHANGE}")
+    protocol._outgoing.bound = protocol.max_outgoing_bytes
+    for _ in range(3):
+        discovery.read(10_000)
+    assert discovery.received.count(b"GET /v1/servers?after=42&") == 2
+    assert not transport.ended
