Keep a node connection whose buffer has no room for a command

Callers could see: nothing with today's constants (commands of 68 KB at most, 1 MiB of buffer). Change: SendResult.NO_ROOM; the attempt is decided again some ms later or waits for a free connection, a last byte is written later. SendResult has a module of its own.

--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from enum import Enum, auto
+from typing import assert_never
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import connectionDone
@@ -15,6 +15,7 @@
 
 from cloverwell.back.connection_pool import ConnectionPool
 from cloverwell.back.partial_write import PartialWrite
+from cloverwell.back.send_result import SendResult
 from cloverwell.codec.lines import BufferedLineReceiver
 from cloverwell.codec.socket_state import PEEK_FLAGS
 from cloverwell.codec.steady_socket import TryAgainError
@@ -34,14 +35,6 @@
 LATE_DATA_MS = 15.0  # a duplicate of an answer, or data after it, may arrive up to this much later
 
 
-class SendResult(Enum):
-    """The result of writing an attempt to a connection."""
-
-    WRITTEN = auto()  # its first byte has been written; the last one may be held back
-    BROKEN = auto()  # no byte was written, since the connection is unusable
-    TOO_LATE = auto()  # no byte was written, since no time is left for the node to work on the attempt
-
-
 class NodeConnection(BufferedLineReceiver):
     """A connection to a node, with its attempts in the order in which their answers are due."""
 
@@ -113,12 +106,19 @@
         data = self.encode_command(attempt)
         unwritten_count = 1 if use is ConnectionUse.HOLD_LAST_BYTE else 0
         result = self.try_write_command(data[:-1] if unwritten_count else data)
-        if result is CommandWriteResult.CLOSED or result is CommandWriteResult.NO_ROOM:
-            return SendResult.BROKEN
+        match result:
+            case CommandWriteResult.SENT:
+                pass
+            case CommandWriteResult.LAST_BYTE_UNSENT:
+                unwritten_count += 1
+            case CommandWriteResult.NO_ROOM:
+                return SendResult.NO_ROOM
+            case CommandWriteResult.CLOSED:
+                return SendResult.BROKEN
+            case _:
+                assert_never(result)
         if not self.attempts:
             self._idle_age_ms, self._first_byte_ms = self.idle_age_ms(now), now
-        if result is CommandWriteResult.LAST_BYTE_UNSENT:
-            unwritten_count += 1
         if unwritten_count:
             timer = self._pool.call_at(now + hold_ms, self._write_last_byte)
             self._partial_write = PartialWrite(attempt, data[-unwritten_count:], timer)
@@ -147,18 +147,21 @@
         if self._is_unusable() or partial.attempt.exceeded_deadline_by_ms(now) > 0.0:
             self.drop(NodeCloseReason.UNUSABLE)
             return
-        if self._writing:
-            self._write_last_byte_later(partial)
-            return
-        match self.try_write_command(partial.unwritten):
+        no_room = CommandWriteResult.NO_ROOM  # also while bytes before it are on their way
+        result = no_room if self._writing else self.try_write_command(partial.unwritten)
+        match result:
             case CommandWriteResult.SENT:
                 self._partial_write = None
                 self._record_written(partial.attempt, now)
             case CommandWriteResult.LAST_BYTE_UNSENT:
                 partial.unwritten = partial.unwritten[-1:]
                 self._write_last_byte_later(partial)
-            case CommandWriteResult.NO_ROOM | CommandWriteResult.CLOSED:
+            case CommandWriteResult.NO_ROOM:
+                self._write_last_byte_later(partial)
+            case CommandWriteResult.CLOSED:
                 self.drop(NodeCloseReason.UNUSABLE)
+            case _:
+                assert_never(result)
 
     def _write_last_byte_later(self, partial: PartialWrite) -> None:
         partial.timer = self._pool.call_at(self._pool.now() + self._pool.tick_ms, self._write_last_byte)
--- a/cloverwell/back/pool.py
+++ b/cloverwell/back/pool.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 from cloverwell.back.idle_connections import IdleConnections
-from cloverwell.back.node_connection import NodeConnection, SendResult
+from cloverwell.back.node_connection import NodeConnection
 from cloverwell.back.opener import OpeningConnections
 from cloverwell.back.pool_context import PoolContext
+from cloverwell.back.send_result import SendResult, outcome_without_write
 from cloverwell.back.waiting_attempts import WaitingAttempts
 from cloverwell.connections.budget import DescriptorSide
 from cloverwell.connections.close_reason import NodeCloseReason
@@ -89,9 +90,9 @@
     def _write_or_wait(self, attempt: Attempt) -> None:
         while (connection := self._take_idle()) is not None:
             result = self._write(connection, attempt)
-            if result is SendResult.TOO_LATE:
+            if result is SendResult.TOO_LATE or result is SendResult.NO_ROOM:
                 self.connection_freed(connection)
-                attempt.end(AttemptOutcome.NOT_CONNECTED)
+                attempt.end(outcome_without_write(result))
             if result is not SendResult.BROKEN:
                 return
         one_is_free_soon = self._count_soon_free() > len(self._waiting.attempts)
@@ -124,7 +125,7 @@
             result = min(shared, key=lambda connection: len(connection.attempts)).send(attempt)
         if result is SendResult.TOO_LATE:
             attempt.end(AttemptOutcome.NOT_CONNECTED)
-        elif result is SendResult.BROKEN:
+        elif result is not SendResult.WRITTEN:
             self._wait(attempt)
 
     def _may_share(self, connection: NodeConnection, attempt: Attempt) -> bool:
@@ -286,8 +287,8 @@
         ):
             attempt = self._waiting.take_first()
             result = SendResult.TOO_LATE if self.is_too_late(attempt) else self._write(connection, attempt)
-            if result is SendResult.TOO_LATE:
-                attempt.end(AttemptOutcome.NOT_CONNECTED)
+            if result is SendResult.TOO_LATE or result is SendResult.NO_ROOM:
+                attempt.end(outcome_without_write(result))
             elif result is SendResult.BROKEN:
                 self.start(attempt)
                 return
--- a/tests/test_refused_writes.py
+++ b/tests/test_refused_writes.py
@@ -79,3 +79,15 @@
         discovery.read(10_000)
     assert discovery.received.count(b"GET /v1/servers?after=42&") == 2
     assert not transport.ended
+
+
+def test_a_node_connection_without_room_is_not_closed():
+    # The fault: a connection to a node whose buffer had no room for a command was closed as unusable.
+    player = Player()
+    player.play("client send mg k1 v O1 Pc=page,t=acme,d=1900\ns1 expect mg k1 *\ns1 send VA 1 O1|a")
+    protocol, transport = player.connection("s1", 0)
+    protocol._outgoing.bound = 0
+    player.play("client expect VA 1 O1|a\nwait 20\nclient send mg k1 v O2 Pc=page,t=acme,d=1900")
+    assert not transport.aborted
+    protocol._outgoing.bound = protocol.max_outgoing_bytes
+    player.play("wait 100\ns1 expect mg k1 *\ns1 send VA 1 O2|b\nclient expect VA 1 O2|b")
--- a/tests/test_streamed_value.py
+++ b/tests/test_streamed_value.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 from scenario import Player
 
-from cloverwell.back.node_connection import STREAM_READ_BYTES, SendResult
+from cloverwell.back.node_connection import STREAM_READ_BYTES
+from cloverwell.back.send_result import SendResult
 from cloverwell.facade import AttemptOutcome, SendAttempt
 from cloverwell.front.client_connection import STREAM_PIECE_BYTES
 from cloverwell.request import Attempt, Request
