Ask the outgoing buffer for its room only while it holds bytes

Cause: each write asked, also where the buffer was empty; that is nearly always so. Change: an empty buffer's room is its bound.

--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -260,7 +260,7 @@
         if self.ended:
             return WriteResult.CLOSED
         size_bytes = len(data)
-        if size_bytes > self._outgoing.room:
+        if size_bytes > (self._outgoing.room if self._writing else self._outgoing.bound):
             return WriteResult.NO_ROOM
         unsent = self._send_now(data)
         if unsent is None:
@@ -277,7 +277,7 @@
         """
         if self.ended:
             return CommandWriteResult.CLOSED
-        if len(data) > self._outgoing.room:
+        if len(data) > (self._outgoing.room if self._writing else self._outgoing.bound):
             return CommandWriteResult.NO_ROOM
         unsent = self._send_now(data)
         if unsent is None:
