--- a/tests/held_client.py
+++ b/tests/held_client.py
@@ -1,8 +1,10 @@
 """A client that takes bytes only when a test lets it, and cache nodes that answer when the test says so."""
 
+import itertools
+
 from scenario import Player
 
-from cloverwell.back.node_connection import MAX_READ_BYTES, STREAM_READ_BYTES
+from cloverwell.back.node_connection import LATE_DATA_MS, MAX_READ_BYTES, STREAM_READ_BYTES
 
 LINE_END = b"\r\n"
 
@@ -68,8 +70,6 @@
         self.client = HeldTransport(transport)
         self.answers = []
         self.expected = b""
-        self._nodes = 0
-        self._origins = 0
 
     @property
     def is_open(self):
@@ -80,14 +80,14 @@
         """Sends a read, and returns the answer that its node is to give."""
         name = f"O{len(self.answers) + 1}"
         self.connection.dataReceived(f"mg k{name} v {name} Pc=page,t=acme,d=1900\r\n".encode())
-        protocol, transport = self._node_of(name)
+        protocol, transport = self._reached("s1", f" {name} ")
         head = f"VA {len(value)} {name}\r\n".encode()
         self.expected += head + value + LINE_END
         answer = head + value + LINE_END
         if from_origin:
             protocol.dataReceived(f"EN {name}\r\n".encode())
-            protocol, transport = self.player.connection("origin", self._origins)
-            self._origins += 1
+            self._let_origin_be_usable()
+            protocol, transport = self._reached("origin", f"GET /k{name} ")
             answer = f"HTTP/1.1 200 OK\r\nContent-Length: {len(value)}\r\n\r\n".encode() + value
         self.answers.append(Answer(name, protocol, transport, answer, from_origin))
         return self.answers[-1]
@@ -99,16 +99,26 @@
             answer.give()
         return answer
 
-    def _node_of(self, name):
-        """Returns the node's end of the connection to which the read was written, whichever it is."""
-        wanted = f" {name} ".encode()
-        for index in range(self._nodes + 1):
-            protocol, transport = self.player.connection("s1", index)
-            self._nodes = max(self._nodes, index + 1)
-            if wanted in transport.value():
+    def _let_origin_be_usable(self):
+        """Lets the time pass for which a connection to the origin is not used behind an answer."""
+        for answer in self.answers:
+            while answer.may_give and answer.protocol in answer.protocol._pool.partial_answers:
+                answer.give()  # An answer that has begun is given up if it does not go on.
+        self.player.play(f"wait {int(LATE_DATA_MS) + 5}")
+
+    def ask_at_once(self, command, response):
+        """Sends a command that the proxy answers itself."""
+        self.connection.dataReceived(command)
+        self.expected += response
+
+    def _reached(self, server, wanted):
+        """Returns the server's end of the connection to which a request was written, whichever it is."""
+        for index in itertools.count():
+            protocol, transport = self.player.connection(server, index)
+            if wanted.encode() in transport.value():
                 transport.clear()
                 return protocol, transport
-        raise AssertionError(f"{name} was not sent\n{self.player.log.getvalue()}")
+        raise AssertionError(f"nothing with {wanted!r} was sent")
 
     def read_all(self, step_bytes=50_000):
         """Reads all answers in steps, while the nodes give what the proxy reads of them."""
