Give a long value that waits for room its time in a drain

Callers could see: a long value cut 3.7 s into a drain, in place of 10 s, where it waited for room or its turn. Cause: ResponseQueue.streaming looked at the value that is being sent alone. Change: a response with a long value counts from its answer on.

--- a/cloverwell/connections/closing.py
+++ b/cloverwell/connections/closing.py
@@ -40,7 +40,7 @@
         accepted_ms: when the connection was accepted.
         nothing_read: whether no byte of the client has been read.
         responses_pending: whether a request is open, or a part of a response is not written yet.
-        streaming: whether a long value is being sent.
+        streaming: whether a long value is being sent, or waits for its turn or for room.
         partial_command: whether a part of a command has come, and no response is pending.
         reading_paused: whether malformed commands have paused the handling of commands that were read.
         half_closed_ms: when the proxy's side was closed, or None while it is open.
--- a/cloverwell/front/response_queue.py
+++ b/cloverwell/front/response_queue.py
@@ -96,10 +96,10 @@
 
     @property
     def streaming(self) -> bool:
-        """Return whether the kernel has not taken all bytes of a long value that is being sent."""
+        """Return whether a long value is being sent or waits, or the kernel has not taken all bytes of it."""
         if self._stream_end_unsent and not self._connection.has_unsent_responses:
             self._stream_end_unsent = False
-        return self._stream is not None or self._stream_end_unsent
+        return self._stream_end_unsent or any(response.stream is not None for response in self.pending)
 
     @property
     def open_request_ids(self) -> list[str]:
