--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -295,7 +295,7 @@
         stream, self.stream = self.stream, None
         assert stream is not None
         stream.complete()
-        self.release()  # Its client may have paused it with the last bytes, and resumes nothing that has ended.
+        self.release()  # Its client may have paused it with the last bytes, and resumes only open values.
         if not self.ended:
             self._answer_complete(has_id)
 
--- a/lab/loopback/requests.py
+++ b/lab/loopback/requests.py
@@ -7,6 +7,7 @@
 
 EFFECTS = {"page": "retryable", "adjust": "dedup", "order": "fragile"}  # of the testbed's classes
 LONG_VALUE_BYTES = 400_000  # more than is kept before it is passed on
+LARGE_VALUE_BYTES = 60_000  # nearly the most that is kept
 
 _numbers = itertools.count(1)
 
@@ -26,6 +27,8 @@
     value = value_for(name)
     if key.startswith("long"):
         return value * (LONG_VALUE_BYTES // len(value))
+    if key.startswith("large"):
+        return value * (LARGE_VALUE_BYTES // len(value))
     return value
 
 
--- a/lab/soak/behaviours.py
+++ b/lab/soak/behaviours.py
@@ -14,7 +14,7 @@
 from functools import partial
 
 from lab.loopback.requests import Request, new_name
-from lab.soak.connection import SoakConnection
+from lab.soak.connection import READ_LIMIT, SoakConnection
 from lab.soak.oracle import BAD_CLIENT_S, SLACK_S, Oracle
 
 KINDS = {"key": 6, "slow": 2, "miss": 2, "hang": 1}  # of keys, how often each is asked for
@@ -23,6 +23,10 @@
 BURST = 9
 UNREAD = 40  # requests whose answers are not read: the kernel takes them all
 LEAVES_AFTER_S = 0.05
+PIPELINED = 60  # reads without an answer on one connection
+WRITTEN_AT_ONCE = 12  # of them
+PIPELINED_KINDS = {"large": 19, "long": 1}
+LINK_BUFFER = 65_536  # bytes, of the client's kernel and of the client
 MALFORMED_IN_A_ROW = 15
 
 
@@ -34,6 +38,7 @@
     act: Callable[[SoakConnection, Asker, Oracle], Awaitable[None]]
     number: int = 1
     receive_buffer: int = 0
+    read_limit: int = READ_LIMIT
 
 
 @dataclass
@@ -180,6 +185,25 @@
             await asyncio.sleep(0.01)
 
 
+async def pipeline(
+    connection: SoakConnection, ask: Asker, _oracle: Oracle, bytes_per_s: float, in_batches: bool
+) -> None:
+    """Has many reads open over a slow link, most of large values, some of long ones.
+
+    `in_batches`: it sends the next ones once all are answered, and not each as soon as one is.
+    """
+    connection.limit_rate(bytes_per_s)
+    while connection.open:
+        missing = max(0, PIPELINED - connection.pending_count)
+        kinds = ask.draw.choices(list(PIPELINED_KINDS), list(PIPELINED_KINDS.values()), k=missing)
+        for place in range(0, missing, WRITTEN_AT_ONCE):
+            connection.send(*(ask.request(kind, "page") for kind in kinds[place : place + WRITTEN_AT_ONCE]))
+            await asyncio.sleep(0.02)
+        if in_batches:
+            await connection.idle()
+        await asyncio.sleep(0.2)
+
+
 BEHAVIOURS = (
     Behaviour("closed loop, 0 ms", partial(closed_loop, pause_s=0.0)),
     Behaviour("closed loop, 5 ms", partial(closed_loop, pause_s=0.005)),
@@ -205,4 +229,15 @@
     Behaviour("half closes", half_close),
     Behaviour("reads nothing", partial(read_nothing, draw_s=5.0), 1, 2048),
     Behaviour("reads slowly", read_slowly, 1, 4096),
+    Behaviour(
+        "pipelines", partial(pipeline, bytes_per_s=10_000_000.0, in_batches=True), 1, LINK_BUFFER, LINK_BUFFER
+    ),
+)
+# A client that always has as many reads open, over a link that is slower than an end waits for.
+WITHOUT_PAUSE = Behaviour(
+    "pipelines without pause",
+    partial(pipeline, bytes_per_s=2_500_000.0, in_batches=False),
+    2,
+    LINK_BUFFER,
+    LINK_BUFFER,
 )
--- a/lab/soak/clients.py
+++ b/lab/soak/clients.py
@@ -93,7 +93,12 @@
             if not self.front.sends_clients:
                 continue
             connection = await connect(
-                self._address, behaviour.name, self._proxy, self._oracle, behaviour.receive_buffer
+                self._address,
+                behaviour.name,
+                self._proxy,
+                self._oracle,
+                behaviour.receive_buffer,
+                behaviour.read_limit,
             )
             if connection is None:
                 continue
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 from lab.cli import lab
 from lab.loopback.event_time import EventTime
 from lab.loopback.requests import Request, new_name
+from lab.soak.behaviours import WITHOUT_PAUSE
 from lab.soak.crowd_plan import HOSTILE_KINDS, draw_crowd_plan
 from lab.soak.defects import DEFECTS
 from lab.soak.oracle import CROSSING_S, Oracle
@@ -34,6 +35,7 @@
     "memory-without-bound": ("memory", 30),
 }
 CROWD_SEEDS = (30, 58)
+WITHOUT_PAUSE_SEED = 2
 TRIES_TO_JUDGE = 3
 
 
@@ -55,6 +57,15 @@
     assert result.counts["served"] > 200
 
 
+def test_an_end_loses_no_request_of_clients_that_pipeline_without_pause_over_a_slow_link(monkeypatch):
+    # The fault: a drain and a shutdown cut off clients that are a second behind with reading.
+    monkeypatch.setattr("lab.soak.clients.BEHAVIOURS", (WITHOUT_PAUSE,))
+    result = judged(WITHOUT_PAUSE_SEED)
+    assert result.verdict is Verdict.PASSED, result.as_text(
+        f"cloverwell lab soak --seeds {WITHOUT_PAUSE_SEED}"
+    )
+
+
 @pytest.mark.parametrize("seed", CROWD_SEEDS)
 def test_a_short_run_with_little_memory_and_a_hostile_crowd_breaks_no_rule(seed):
     result = judged(seed, draw=draw_crowd_plan)
