Make one held transport serve the tests of streams and of room

Cause: the new tests had a copy of SlowClient. Change: test_streamed_value uses HeldTransport of held_client; no check changed.

--- a/tests/test_streamed_value.py
+++ b/tests/test_streamed_value.py
@@ -5,6 +5,7 @@
 """
 
 import pytest
+from held_client import HeldTransport
 from hypothesis import given
 from hypothesis import strategies as st
 from scenario import Player
@@ -27,37 +28,6 @@
 HEAD = f"VA {SIZE} O1\r\n".encode()
 
 
-class SlowClient:
-    """A client that reads slowly: its transport takes only as many bytes as `read` has allowed."""
-
-    def __init__(self, transport):
-        self.transport, self.room, self.received = transport, 0, bytearray()
-        transport.send, transport.write = self.send, self.write
-        self.unsent = bytearray()
-
-    def send(self, data):
-        taken = bytes(data[: self.room])
-        if not taken:
-            raise BlockingIOError
-        self.room -= len(taken)
-        self.received += taken
-        return len(taken)
-
-    def write(self, data):
-        self.unsent += data
-
-    def read(self, number):
-        """Lets the client read `number` bytes."""
-        while number and self.unsent:
-            taken = self.unsent[:number]
-            del self.unsent[: len(taken)]
-            self.received += taken
-            number -= len(taken)
-            if not self.unsent:
-                self.transport.protocol.resumeProducing()
-        self.room += number
-
-
 def send_read(player, name="O1", client="client", node="s1"):
     """Plays a read that reaches the node, and returns the ends of the client and the node."""
     player.play(f"{client} send mg k{name} v {name} Pc=page,t=acme,d=1900\n{node} expect mg k{name} *")
@@ -171,7 +141,7 @@
     pairs, number = [], 12
     for place in range(1, number + 1):
         _, (node, transport) = send_read(player, f"O{place}", f"client#{place}", f"s1#{place}")
-        pairs.append((node, transport, SlowClient(player.connection("client", place - 1)[1])))
+        pairs.append((node, transport, HeldTransport(player.connection("client", place - 1)[1])))
     value = b"v" * MAX_STREAMED_VALUE_BYTES
     for place, (node, transport, _) in enumerate(pairs, 1):
         data = f"VA {MAX_STREAMED_VALUE_BYTES} O{place}\r\n".encode() + value + b"\r\n"
