--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -61,9 +61,7 @@
     # The fault: a drain and a shutdown cut off clients that are a second behind with reading.
     monkeypatch.setattr("lab.soak.clients.BEHAVIOURS", (WITHOUT_PAUSE,))
     result = judged(WITHOUT_PAUSE_SEED)
-    assert result.verdict is Verdict.PASSED, result.as_text(
-        f"cloverwell lab soak --seeds {WITHOUT_PAUSE_SEED}"
-    )
+    assert result.verdict is Verdict.PASSED, result.as_text("pytest -n 0 tests/test_soak.py -k without_pause")
 
 
 @pytest.mark.parametrize("seed", CROWD_SEEDS)
