Serve a client that is behind with reading until an end's last instants

What callers saw: a client with many reads open on a slow link lost what it sent for up to 1.4 s while a process was drained or stopped, and after SIGTERM its next command was answered with a reset.

Cause: a drain and a shutdown closed the proxy's side as soon as the process itself held no response. The kernel still held up to megabytes, and sends the end of the stream behind them.

Change: ClosingState.behind, from the kernel's number of bytes that it has never sent (SIOCOUTQNSD). Such a connection is not closed between requests before half_close_ms. Bytes that were sent and are not acknowledged do not count, so a client that asks again at each response is closed right behind one, as before.

--- a/cloverwell/codec/socket_state.py
+++ b/cloverwell/codec/socket_state.py
@@ -11,6 +11,7 @@
 
 PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 LAST_DATA_RECEIVED_OFFSET = 52  # the offset of `tcpi_last_data_recv` in Linux's `tcp_info`, in bytes
+SIOCOUTQNSD = 0x894B  # Linux's ioctl for the bytes in a socket's sending buffer that were never sent
 DISCARDED_READ_BYTES = 64 * 1024  # the most bytes that one read discards
 MAX_DISCARD_READS = 16  # the most reads that discard unread data
 POLL_TRIES = 3  # the number of tries of a poll that fails because the kernel is short of memory
@@ -75,10 +76,22 @@
 
 
 def unacknowledged_bytes(handle: socket.socket | int) -> int:
-    """Returns the number of sent bytes that the peer has not acknowledged; 0 if the kernel can't tell."""
+    """Returns the number of written bytes that the peer has not acknowledged; 0 if the kernel can't tell."""
+    return _queued_bytes(handle, termios.TIOCOUTQ)
+
+
+def unsent_bytes(handle: socket.socket | int) -> int:
+    """Returns the number of written bytes that the kernel has never sent; 0 if it can't tell.
+
+    They wait for the peer, which takes no more for now; so does the end of the stream, if it is shut down.
+    """
+    return _queued_bytes(handle, SIOCOUTQNSD)
+
+
+def _queued_bytes(handle: socket.socket | int, request: int) -> int:
     try:
-        answer = fcntl.ioctl(handle, termios.TIOCOUTQ, struct.pack("i", 0))
+        answer = fcntl.ioctl(handle, request, struct.pack("i", 0))
     except (OSError, ValueError, TypeError):  # A transport in memory has no descriptor.
         return 0
-    (unacknowledged,) = struct.unpack("i", answer)
-    return int(unacknowledged)
+    (count,) = struct.unpack("i", answer)
+    return int(count)
--- a/cloverwell/connections/closing.py
+++ b/cloverwell/connections/closing.py
@@ -41,6 +41,8 @@
         nothing_read: whether no byte of the client has been read.
         responses_pending: whether a request is open, or a part of a response is not written yet.
         streaming: whether a long value is being sent, or waits for its turn or for room.
+        behind: whether the kernel holds responses that it can't send yet, since the client takes no more for
+            now. The client would see a close only behind them.
         partial_command: whether a part of a command has come, and no response is pending.
         reading_paused: whether malformed commands have paused the handling of commands that were read.
         half_closed_ms: when the proxy's side was closed, or None while it is open.
@@ -51,6 +53,7 @@
     nothing_read: bool = False
     responses_pending: bool = False
     streaming: bool = False
+    behind: bool = False
     partial_command: bool = False
     reading_paused: bool = False
     half_closed_ms: float | None = None
@@ -82,7 +85,7 @@
         return ClosingStep.KEEP
     if now >= instants.half_close_ms:
         return ClosingStep.HALF_CLOSE
-    if state.reading_paused:
+    if state.reading_paused or state.behind:
         return ClosingStep.KEEP
     if not state.partial_command:
         return ClosingStep.HALF_CLOSE_IF_ALL_READ
--- a/cloverwell/front/client_connection.py
+++ b/cloverwell/front/client_connection.py
@@ -10,7 +10,7 @@
 from twisted.python.failure import Failure
 
 from cloverwell.codec.meta import CommandFields
-from cloverwell.codec.socket_state import discard_unread, read_now, received_ago_ms
+from cloverwell.codec.socket_state import discard_unread, read_now, received_ago_ms, unsent_bytes
 from cloverwell.codec.transport import close_both_sides
 from cloverwell.codec.write_result import WriteResult
 from cloverwell.connections.close_reason import CloseReason
@@ -244,11 +244,13 @@
 
     def closing_state(self) -> ClosingState:
         """Return the state that decides when the connection is closed in a drain or shutdown."""
+        responses_pending = bool(self._responses.pending) or self._writing
         return ClosingState(
             accepted_ms=self._accepted_ms,
             nothing_read=self._nothing_read,
-            responses_pending=bool(self._responses.pending) or self._writing,
+            responses_pending=responses_pending,
             streaming=self._responses.streaming,
+            behind=not responses_pending and unsent_bytes(self._socket) > 0,
             partial_command=self.has_partial_command,
             reading_paused=self._throttled or self._held,
             half_closed_ms=self.write_closed_ms if self.ended else None,
--- a/cloverwell/front/connection_report.py
+++ b/cloverwell/front/connection_report.py
@@ -54,6 +54,7 @@
         "no bytes received yet": state.nothing_read,
         "responses pending": state.responses_pending,
         "a long value is being sent": state.streaming,
+        "the client is behind with reading": state.behind,
         "incomplete command received": state.partial_command,
         "reading paused": state.reading_paused,
         "closed by the proxy but not yet by the client": state.half_closed_ms is not None,
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -26,7 +26,10 @@
 # The specification: a process is killed this long after the longest deadline, which counts as 3 s at most.
 KILL_DELAY_MS = 700.0
 
-EVENTS = ["request", "part", "rest", "malformed", "read", "stop_reading", "node_answers", "value", "nothing"]
+EVENTS = [
+    "request", "part", "rest", "malformed", "read", "stop_reading", "fall_behind", "node_answers", "value",
+    "nothing",
+]  # fmt: skip
 
 
 @dataclass
@@ -41,6 +44,7 @@
     is_paused: bool = False
     client_reads: bool = True
     has_unsent_response: bool = False
+    is_behind: bool = False  # whether the kernel holds what the client does not take
     streaming: bool = False
     half_closed_ms: float | None = None
     closed_ms: float | None = None
@@ -53,6 +57,7 @@
             nothing_read=self.nothing_read,
             responses_pending=pending,
             streaming=self.streaming,
+            behind=self.is_behind and not pending,
             partial_command=self.has_partial_command and not pending,
             reading_paused=self.is_paused,
             half_closed_ms=self.half_closed_ms,
@@ -63,9 +68,11 @@
         if event in ("request", "part", "rest", "malformed"):
             self.unread.append(event)
         elif event == "read":
-            self.client_reads, self.has_unsent_response = True, False
+            self.client_reads, self.has_unsent_response, self.is_behind = True, False, False
         elif event == "stop_reading":
             self.client_reads = False
+        elif event == "fall_behind":
+            self.client_reads, self.is_behind = False, True
         elif event == "node_answers":
             self._answer_all()
         elif event == "value" and self.open_requests:
@@ -201,10 +208,21 @@
     assert closing_step(ClosingState(now), instants, now) is ClosingStep.HALF_CLOSE_IF_ALL_READ
 
 
+@pytest.mark.parametrize("partial_command", [False, True])
+@pytest.mark.parametrize("schedule", [DRAIN_SCHEDULE, shutdown_schedule(2000.0, False)])
+def test_a_client_that_is_behind_is_not_closed_between_requests(schedule, partial_command):
+    instants = drain_times_from(schedule, 0.0)
+    state = ClosingState(-1000.0, behind=True, partial_command=partial_command)
+    for now in (schedule.close_idle_ms, schedule.close_mid_command_ms, schedule.half_close_ms - 1.0):
+        assert closing_step(state, instants, now) is ClosingStep.KEEP
+    assert closing_step(state, instants, schedule.half_close_ms) is ClosingStep.HALF_CLOSE
+    assert closing_step(state, instants, schedule.close_ms) is ClosingStep.CLOSE
+
+
 @given(st.floats(0.0, 20_000.0), st.booleans(), st.booleans(), st.booleans())
 def test_after_a_stall_no_connection_is_closed_before_its_bytes_are_read(now, pending, partial, paused):
     instants = drain_times_from(DRAIN_SCHEDULE, 0.0)
-    state = ClosingState(0.0, False, pending, False, partial, paused)
+    state = ClosingState(0.0, responses_pending=pending, partial_command=partial, reading_paused=paused)
     step = closing_step(state, instants, now, after_stall=True)
     assert step not in (ClosingStep.HALF_CLOSE, ClosingStep.CLOSE)
 
--- a/tests/test_slow_readers_at_ends.py
+++ b/tests/test_slow_readers_at_ends.py
@@ -1,8 +1,10 @@
 """Clients that still take their responses when the process is drained or stops; see test_slow_readers.py."""
 
+import pytest
 from slow_reader import LARGE_BUFFER, SHORT_VALUE, VALUE, Reader
 
-from cloverwell.serving import KILL_DELAY_MS, KILL_MARGIN_MS
+from cloverwell.front.meta_answers import DRAINING
+from cloverwell.serving import DRAIN_SCHEDULE, KILL_DELAY_MS, KILL_MARGIN_MS
 
 DRAIN_MS = 12_000.0  # longer than a drain waits for a long value, whoever reads it
 LONGEST_DEADLINE_MS = 2000.0  # of the rig's settings
@@ -42,6 +44,37 @@
     reader.read_for(1200.0, 20_000)
     assert not reader.ended
     reader.conn.sendall(b"mn\r\n")  # Clients send on every connection that stays open.
+    reader.expected += DRAINING
     reader.read_for(LONGEST_DEADLINE_MS + KILL_DELAY_MS - KILL_MARGIN_MS - 1200.0, 20_000)
-    assert reader.ended != "reset"
-    assert reader.received.startswith(reader.expected)
+    assert not reader.ended
+    reader.read_to_the_end()
+    assert reader.received == reader.expected
+
+
+@pytest.mark.parametrize("end", ["drain", "stop"])
+def test_what_a_client_sends_while_the_kernel_holds_its_answers_is_answered_at_an_end(rig, end):
+    # The failure: the proxy closed its side between requests while the kernel held answers that the client
+    # had not taken. The client saw that close only behind them, and what it had sent until then was lost.
+    reader = Reader(rig(), LARGE_BUFFER)
+    for number in (1, 2):
+        reader.ask(number, SHORT_VALUE)
+    getattr(reader.proxy.service, end)()
+    for _ in range(2):
+        reader.read_for(DRAIN_SCHEDULE.close_idle_ms + 200.0, 20_000)
+        reader.conn.sendall(b"mn\r\n")
+        reader.expected += DRAINING
+    reader.read_to_the_end()
+    assert reader.received == reader.expected
+    reader.read_for(1000.0)
+    assert reader.ended == "closed"
+
+
+@pytest.mark.parametrize("end", ["drain", "stop"])
+def test_a_client_that_keeps_pace_is_closed_between_requests_right_behind_its_answer(rig, end):
+    reader = Reader(rig(), LARGE_BUFFER)
+    reader.ask(1, SHORT_VALUE)
+    reader.read_to_the_end()
+    getattr(reader.proxy.service, end)()
+    reader.read_for(DRAIN_SCHEDULE.close_idle_ms + 200.0)
+    assert reader.ended == "closed"
+    assert reader.received == reader.expected
