Do not take the proxy's own close for a byte that its client took

What operators saw: nothing yet; a client that reads nothing was kept up to 10 s longer once the proxy had closed its side.

Cause: the end of the stream counts as one byte in the kernel's queue, and was left out of it before the kernel had it, so that one byte of a response seemed acknowledged: progress, by which idle, drain and eviction judge.

Change: it is left out once all bytes before it have left the process, and the close between requests is observed behind the shutdown of the socket.

--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -322,17 +322,20 @@
     def delivery(self) -> Delivery:
         """Returns what has become of the bytes that `try_write` has accepted.
 
-        A close of the sending side counts as one more byte for the kernel, which is left out here.
+        A close of the sending side counts as one more byte for the kernel, which is left out here. The kernel
+        has it once all bytes before it have left the process.
         """
         sent_bytes = getattr(self._socket, "sent_bytes", None)
         if sent_bytes is None:  # A transport in memory does not count its bytes.
             unsent_bytes = len(self._outgoing) + (self._transport_bytes if self._writing else 0)
             sent_bytes = self._written_bytes - unsent_bytes
-        in_kernel_bytes = min(sent_bytes, max(0, unacknowledged_bytes(self._socket) - self.ended))
+        in_process_bytes = max(0, self._written_bytes - sent_bytes)
+        close_bytes = 1 if self.ended and not in_process_bytes else 0
+        in_kernel_bytes = min(sent_bytes, max(0, unacknowledged_bytes(self._socket) - close_bytes))
         return Delivery(
             acknowledged_bytes=sent_bytes - in_kernel_bytes,
             in_kernel_bytes=in_kernel_bytes,
-            in_process_bytes=max(0, self._written_bytes - sent_bytes),
+            in_process_bytes=in_process_bytes,
         )
 
     def resumeProducing(self) -> None:
--- a/cloverwell/front/closable_connection.py
+++ b/cloverwell/front/closable_connection.py
@@ -186,11 +186,11 @@
             self._send_final_line(BUSY)
             return
         self.ended = True
-        self._owner.write_side_closed(self)
         # The socket is shut down here and not in the reactor's next iteration, since a request that came in
         # between would be lost. A client that sees the connection end resends its request elsewhere.
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_WR)
+        self._owner.write_side_closed(self)
 
     def force_close_write_side(self, reason: CloseReason) -> None:
         """Close the sending side although input may be unread, for a client that sends without pause.
--- a/tests/test_slow_readers_at_ends.py
+++ b/tests/test_slow_readers_at_ends.py
@@ -78,3 +78,19 @@
     reader.read_for(DRAIN_SCHEDULE.close_idle_ms + 200.0)
     assert reader.ended == "closed"
     assert reader.received == reader.expected
+
+
+def test_the_close_by_the_proxy_is_no_progress_of_its_client(rig):
+    # The failure: the end of the stream, one more byte for the kernel, was taken for a byte that the client
+    # had taken, so that one that read nothing seemed to read.
+    reader = Reader(rig(), LARGE_BUFFER)
+    reader.ask(1, SHORT_VALUE)
+    reader.read_for(1000.0, 0)
+    taken_bytes = reader.connection.delivery().acknowledged_bytes
+    reader.proxy.service.drain()
+    reader.read_for(DRAIN_SCHEDULE.half_close_ms + 100.0, 0)
+    assert reader.connection.ended
+    assert reader.connection.delivery().acknowledged_bytes == taken_bytes
+    delivery = reader.proxy.service.client_connections.policy.delivery
+    stalled_ms = delivery.stalled_ms(reader.connection, reader.proxy.now())
+    assert stalled_ms > DRAIN_SCHEDULE.half_close_ms
