Let a process that is stopped late in a drain go through its shutdown

What callers saw: SIGTERM over 3.7 s after PUT /drain ended the process at its next tick. A long value that was being read, which has 10 s in a drain, was cut, and new connections were refused at once.

Cause: GracefulShutdown took close_ms for the instant by which every connection is closed; in a drain followed by a shutdown it is the drain's, which is over, and it never held for long values.

Change: DrainSchedule.close_all_ms, by which all connections are closed whatever their clients do; a connection accepted late has its 250 ms in a shutdown as well, within that bound.

Measured: both new tests failed before (the value cut; connection refused) and pass.

--- a/cloverwell/connections/closing.py
+++ b/cloverwell/connections/closing.py
@@ -98,7 +98,8 @@
     """Return the time by which the connection is closed on both sides, whatever its client does."""
     if state.streaming:
         return instants.close_stream_ms
-    return max(instants.close_ms, state.accepted_ms + instants.late_connection_ms)
+    late_ms = state.accepted_ms + instants.late_connection_ms
+    return min(max(instants.close_ms, late_ms), instants.close_all_ms)
 
 
 def _awaits_first_request(state: ClosingState, instants: DrainTimes, now: float) -> bool:
--- a/cloverwell/graceful_shutdown.py
+++ b/cloverwell/graceful_shutdown.py
@@ -84,7 +84,7 @@
             self._end()
 
     def _can_end(self, now: float) -> bool:
-        if now >= self._serving.drain_times.close_ms:
+        if now >= self._serving.drain_times.close_all_ms:
             return True
         return not (
             self._serving.accepts_connections(now)
--- a/cloverwell/serving.py
+++ b/cloverwell/serving.py
@@ -34,6 +34,7 @@
         half_close_ms: our side of each connection is closed by then, even if data on it is unread.
         close_ms: each connection is closed on both sides by then.
         close_stream_ms: a connection on which a long value is being sent is closed by then.
+        close_all_ms: all connections are closed by then, whatever their clients do.
         late_connection_ms: how long a connection may stay open after it was accepted, even past `close_ms`.
         linger_ms: how long a client may take to close its side after our side is closed.
 
@@ -47,10 +48,13 @@
     half_close_ms: float
     close_ms: float
     close_stream_ms: float
+    close_all_ms: float = math.inf
     late_connection_ms: float = 0.0
     linger_ms: float = math.inf
 
 
+LATE_CONNECTION_MS = 250.0  # the time for the first request of a connection that is accepted late
+
 # The front layer learns of a drain within 0.1 s, sends clients for a further 0.2 s, and asks on new
 # connections whether the drain is over. After 4 s no connection may be open that is idle or has had a request
 # in the last 2 s; the steps are over a little earlier, so that a stall of the event loop does no harm.
@@ -64,7 +68,7 @@
     close_ms=3700.0,
     # A long value is still sent as long as its client reads it, but not without end.
     close_stream_ms=10_000.0,
-    late_connection_ms=250.0,
+    late_connection_ms=LATE_CONNECTION_MS,
 )
 # After SIGTERM clients may still be sent here, so new connections are accepted for `SHUTDOWN_ACCEPT_MS`.
 # Requests on open connections are served for `SHUTDOWN_MID_COMMAND_MS` longer.
@@ -100,6 +104,8 @@
         half_close_ms=(answer_deadline_ms + close_ms) / 2.0,
         close_ms=close_ms,
         close_stream_ms=close_ms,
+        close_all_ms=close_ms,
+        late_connection_ms=LATE_CONNECTION_MS,
         linger_ms=SHUTDOWN_LINGER_MS,
     )
 
@@ -119,6 +125,7 @@
     half_close_ms: float = math.inf
     close_ms: float = math.inf
     close_stream_ms: float = math.inf
+    close_all_ms: float = math.inf
     late_connection_ms: float = math.inf
     linger_ms: float = math.inf
 
@@ -142,6 +149,7 @@
         half_close_ms=began_ms + schedule.half_close_ms,
         close_ms=began_ms + schedule.close_ms,
         close_stream_ms=began_ms + schedule.close_stream_ms,
+        close_all_ms=began_ms + schedule.close_all_ms,
         late_connection_ms=schedule.late_connection_ms,
         linger_ms=schedule.linger_ms,
     )
--- a/tests/test_slow_readers_at_ends.py
+++ b/tests/test_slow_readers_at_ends.py
@@ -4,7 +4,7 @@
 from slow_reader import LARGE_BUFFER, SHORT_VALUE, VALUE, Reader
 
 from cloverwell.front.meta_answers import DRAINING
-from cloverwell.serving import DRAIN_SCHEDULE, KILL_DELAY_MS, KILL_MARGIN_MS
+from cloverwell.serving import DRAIN_SCHEDULE, KILL_DELAY_MS, KILL_MARGIN_MS, SHUTDOWN_ACCEPT_MS
 
 DRAIN_MS = 12_000.0  # longer than a drain waits for a long value, whoever reads it
 LONGEST_DEADLINE_MS = 2000.0  # of the rig's settings
@@ -80,6 +80,34 @@
     assert reader.received == reader.expected
 
 
+def test_a_drained_process_that_stops_goes_on_with_a_long_value(rig):
+    # The failure: as below; what was left of a value that was being read was lost.
+    reader = Reader(rig())
+    reader.ask(1, VALUE * 4)
+    reader.proxy.service.drain()
+    reader.read_for(DRAIN_SCHEDULE.close_ms + 500.0)
+    reader.proxy.service.stop()
+    reader.read_for(LONGEST_DEADLINE_MS)
+    assert reader.is_connected
+    reader.read_to_the_end()
+    reader.read_for(KILL_DELAY_MS)
+    assert reader.proxy.reactor.stopped
+    assert reader.received == reader.expected
+
+
+def test_a_drained_process_that_stops_still_accepts_connections_and_answers(rig):
+    # The failure: SIGTERM over 3.7 s after a drain ended the process at once.
+    proxy = rig()
+    proxy.service.drain()
+    proxy.advance_clock(DRAIN_SCHEDULE.close_ms + 500.0)
+    proxy.service.stop()
+    proxy.advance_clock(SHUTDOWN_ACCEPT_MS - 200.0)
+    client = proxy.client(b"mn\r\n")
+    proxy.receive_until(client, DRAINING)
+    proxy.advance_clock(SHUTDOWN_ACCEPT_MS)
+    assert proxy.reactor.stopped
+
+
 def test_the_close_by_the_proxy_is_no_progress_of_its_client(rig):
     # The failure: the end of the stream, one more byte for the kernel, was taken for a byte that the client
     # had taken, so that one that read nothing seemed to read.
