Keep clients that still take their responses in a drain

Change: at its instant a connection is kept while its client has taken something within 2 s (in a long value 5 s) and has sent nothing for 2 s. No more commands are read from it, and it is closed behind its responses. In a shutdown close_all_ms holds for everybody, as before.

--- a/cloverwell/connections/client_policy.py
+++ b/cloverwell/connections/client_policy.py
@@ -319,8 +319,7 @@
 
     def _still_reads(self, client: ClientT, now: float) -> bool:
         """Return whether the client has responses to take, and has not yet taken nothing for too long."""
-        has_undelivered = client in self.delivery.clients
-        return has_undelivered and self.delivery.stalled_ms(client, now) < NOT_READING_TIMEOUT_MS
+        return self.delivery.stalled_ms(client, now) < NOT_READING_TIMEOUT_MS
 
     def _choose_silent(self, now: float, limit: int, abort: bool) -> list[CloseClient[ClientT]]:
         # If most connections are silent, other clients wait to be accepted, so the grace is the shortest one.
--- a/cloverwell/connections/closing.py
+++ b/cloverwell/connections/closing.py
@@ -3,11 +3,12 @@
 The caller gives the state of a connection and gets the next step for it. Every wait has an end of its own: a
 client that always has a request open, that sends without pause, that reads nothing or that never closes its
 side is subject to the same instants as any other. These are `serving.DrainTimes`, in ms of the caller's
-clock.
+clock. Only a client that still takes its responses is kept beyond them, in a drain.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -19,6 +20,12 @@
 # The wait for a first request once new requests are rejected. It is shorter, since by then whoever directs
 # clients to this process has been told that it ends.
 LATE_FIRST_REQUEST_WAIT_MS = 50.0
+# A client that has taken nothing of its responses for so long does not read any more. Its kernel may have
+# taken the last bytes up to 1 s after a drain began.
+STALLED_MS = 2000.0
+STALLED_STREAM_MS = 5000.0  # the same for a long value, whose instant comes later
+# After a drain no connection may be open on which a request was sent so recently.
+RECENT_COMMAND_MS = 2000.0
 
 
 class ClosingStep(Enum):
@@ -29,6 +36,7 @@
     # Answer a partial command as busy and close the proxy's side, unless bytes (perhaps the rest) are unread.
     REJECT_PARTIAL_COMMAND_IF_ALL_READ = auto()
     HALF_CLOSE = auto()  # Close the proxy's side, whatever is unread; answer a partial command as busy.
+    CLOSE_AFTER_RESPONSES = auto()  # Read no more commands, and close behind the pending responses.
     CLOSE = auto()  # Close both sides. Bytes that the kernel has accepted still reach the client.
 
 
@@ -46,6 +54,9 @@
         partial_command: whether a part of a command has come, and no response is pending.
         reading_paused: whether malformed commands have paused the handling of commands that were read.
         half_closed_ms: when the proxy's side was closed, or None while it is open.
+        closing_after_responses: whether no more commands are read, and the close is behind the responses.
+        stalled_ms: for how long the client has taken nothing of its responses; infinite if none are left.
+        command_ms: when the last command began to be read.
 
     """
 
@@ -57,6 +68,9 @@
     partial_command: bool = False
     reading_paused: bool = False
     half_closed_ms: float | None = None
+    closing_after_responses: bool = False
+    stalled_ms: float = math.inf
+    command_ms: float = -math.inf
 
 
 def closing_step(
@@ -78,7 +92,7 @@
     if now < instants.close_idle_ms:
         return ClosingStep.KEEP
     if now >= _close_by_ms(state, instants):
-        return ClosingStep.CLOSE
+        return _overdue_step(state, instants, now)
     if state.half_closed_ms is not None:
         return ClosingStep.CLOSE if now - state.half_closed_ms >= instants.linger_ms else ClosingStep.KEEP
     if state.responses_pending or _awaits_first_request(state, instants, now):
@@ -94,8 +108,23 @@
     return ClosingStep.KEEP
 
 
+def _overdue_step(state: ClosingState, instants: DrainTimes, now: float) -> ClosingStep:
+    """Return the step to take once both sides are due to be closed."""
+    if now >= instants.close_all_ms or not _takes_responses(state, now):
+        return ClosingStep.CLOSE
+    if state.half_closed_ms is not None or state.closing_after_responses:
+        return ClosingStep.KEEP
+    return ClosingStep.CLOSE_AFTER_RESPONSES
+
+
+def _takes_responses(state: ClosingState, now: float) -> bool:
+    """Return whether the client does nothing but take the responses that are left."""
+    limit_ms = STALLED_STREAM_MS if state.streaming else STALLED_MS
+    return state.stalled_ms < limit_ms and now - state.command_ms >= RECENT_COMMAND_MS
+
+
 def _close_by_ms(state: ClosingState, instants: DrainTimes) -> float:
-    """Return the time by which the connection is closed on both sides, whatever its client does."""
+    """Return the time by which both sides are closed, unless the client still takes responses."""
     if state.streaming:
         return instants.close_stream_ms
     late_ms = state.accepted_ms + instants.late_connection_ms
--- a/cloverwell/connections/response_delivery.py
+++ b/cloverwell/connections/response_delivery.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Hashable
 from dataclasses import dataclass
 from typing import Generic, TypeVar
@@ -61,6 +62,6 @@
         return found
 
     def stalled_ms(self, client: ClientT, now: float) -> float:
-        """Return for how long in ms the client has taken nothing of what is undelivered; 0 if nothing is."""
+        """Return for how long in ms the client has taken nothing; infinite if nothing is undelivered."""
         progress = self.clients.get(client)
-        return 0.0 if progress is None else now - progress.last_taken_ms
+        return math.inf if progress is None else now - progress.last_taken_ms
--- a/cloverwell/front/client_connections.py
+++ b/cloverwell/front/client_connections.py
@@ -211,6 +211,10 @@
         """Record that the kernel has not taken all bytes of the responses."""
         self._delivery_monitor.observe(connection, self.timer_wheel.now())
 
+    def stalled_ms(self, connection: ClientConnection) -> float:
+        """Return for how long in ms the client has taken no response; infinite if none is left to take."""
+        return self.policy.delivery.stalled_ms(connection, self.timer_wheel.now())
+
     def write_side_closed(self, connection: ClientConnection) -> None:
         """Record the close of the sending side; a client that never closes its side is then disconnected."""
         connection.write_closed_ms = self.timer_wheel.now()
--- a/cloverwell/front/closable_connection.py
+++ b/cloverwell/front/closable_connection.py
@@ -84,6 +84,9 @@
             partial_command=self.has_partial_command,
             reading_paused=self._throttled or self._held,
             half_closed_ms=self.write_closed_ms if self.ended else None,
+            closing_after_responses=self._broken,
+            stalled_ms=self._owner.stalled_ms(self),
+            command_ms=self.command_begun_ms,
         )
 
     @property
@@ -125,10 +128,14 @@
         self._responses.hold_unsent(response)
 
     def _send_final_line(self, data: bytes) -> None:
+        self._discard_commands()
+        self._send_line(data)
+
+    def _discard_commands(self) -> None:
+        """Handle no more commands; the connection is closed once all responses are sent."""
         self._broken = True
         self._incoming.clear()
         self.hold()
-        self._send_line(data)
 
     # Closing ------------------------------------------------------------------------------------
 
@@ -204,6 +211,12 @@
         if closes and not self._awaits_turn:
             self._close_write_side(reason)
 
+    def close_after_responses(self, reason: CloseReason) -> None:
+        """Close the connection once all responses are sent; commands that come until then are discarded."""
+        self.set_close_reason(reason)
+        self._discard_commands()
+        self.send_responses()
+
     def _handle_unread(self) -> None:
         """Handle the commands that have been read, and up to `FINAL_READ_BYTES` that can be read at once."""
         allowance, self.allowance = self.allowance, self._owner.drainer.final_allowance
--- a/cloverwell/front/connection_closing.py
+++ b/cloverwell/front/connection_closing.py
@@ -79,6 +79,8 @@
                 connection.close_between_requests(CloseReason.DRAIN, allow_partial_command=True)
             case ClosingStep.HALF_CLOSE:
                 connection.force_close_write_side(CloseReason.DRAIN)
+            case ClosingStep.CLOSE_AFTER_RESPONSES:
+                connection.close_after_responses(CloseReason.DRAIN)
             case ClosingStep.CLOSE:
                 self.close_now(connection, CloseReason.DRAIN)
 
--- a/cloverwell/front/connection_owner.py
+++ b/cloverwell/front/connection_owner.py
@@ -67,6 +67,9 @@
     def responses_blocked(self, connection: ConnectionT) -> None:
         """Record that the kernel has not taken all bytes of the responses."""
 
+    def stalled_ms(self, connection: ConnectionT) -> float:
+        """Return for how long in ms the client has taken no response; infinite if none is left to take."""
+
     def write_side_closed(self, connection: ConnectionT) -> None:
         """Record that the proxy has closed its sending side of the connection."""
 
--- a/cloverwell/serving.py
+++ b/cloverwell/serving.py
@@ -32,8 +32,8 @@
         close_mid_command_ms: connections on which a partial command has arrived are closed from then on.
         answer_deadline_ms: all requests have been answered by then.
         half_close_ms: our side of each connection is closed by then, even if data on it is unread.
-        close_ms: each connection is closed on both sides by then.
-        close_stream_ms: a connection on which a long value is being sent is closed by then.
+        close_ms: each connection is closed on both sides by then, unless its client still takes responses.
+        close_stream_ms: the same for a connection on which a long value is being sent.
         close_all_ms: all connections are closed by then, whatever their clients do.
         late_connection_ms: how long a connection may stay open after it was accepted, even past `close_ms`.
         linger_ms: how long a client may take to close its side after our side is closed.
@@ -66,7 +66,7 @@
     answer_deadline_ms=3200.0,
     half_close_ms=3450.0,
     close_ms=3700.0,
-    # A long value is still sent as long as its client reads it, but not without end.
+    # A long value may pause for so long, at its source or its reader.
     close_stream_ms=10_000.0,
     late_connection_ms=LATE_CONNECTION_MS,
 )
--- a/tests/closing_states.py
+++ b/tests/closing_states.py
@@ -378,6 +378,7 @@
     def __init__(self, rig, monkeypatch):
         self.read_ids = {}  # by the client's address: the ids of the requests that the proxy has read
         self.closed_ms = {}
+        self.close_reasons = {}
         self.accepted_ms = {}
         real_request, real_lost = ClientConnection.request_received, ClientConnection.connectionLost
         real_made = ClientConnection.connectionMade
@@ -392,6 +393,7 @@
 
         def lost(connection, *reason):
             self.closed_ms.setdefault(connection.peer, rig.now())
+            self.close_reasons.setdefault(connection.peer, connection.close_reason)
             real_lost(connection, *reason)
 
         monkeypatch.setattr(ClientConnection, "connectionMade", made)
--- a/tests/test_slow_readers_at_ends.py
+++ b/tests/test_slow_readers_at_ends.py
@@ -3,6 +3,7 @@
 import pytest
 from slow_reader import LARGE_BUFFER, SHORT_VALUE, VALUE, Reader
 
+from cloverwell.connections.closing import RECENT_COMMAND_MS, STALLED_MS
 from cloverwell.front.meta_answers import DRAINING
 from cloverwell.serving import DRAIN_SCHEDULE, KILL_DELAY_MS, KILL_MARGIN_MS, SHUTDOWN_ACCEPT_MS
 
@@ -80,6 +81,53 @@
     assert reader.received == reader.expected
 
 
+def slow_reader_of_short_answers(proxy, end="drain"):
+    """Returns a client that reads short answers more slowly than a drain or shutdown waits for them."""
+    reader = Reader(proxy)
+    for number in (1, 2):
+        reader.ask(number, SHORT_VALUE)
+    getattr(proxy.service, end)()
+    return reader
+
+
+def test_a_client_that_has_taken_its_answers_in_a_drain_is_closed_behind_them(rig):
+    reader = slow_reader_of_short_answers(rig())
+    reader.read_for(DRAIN_SCHEDULE.close_ms + 500.0)
+    reader.conn.sendall(b"mn\r\n")  # It crosses the close, which the client sees only behind its answers.
+    reader.read_to_the_end()
+    reader.read_for(500.0)
+    assert reader.ended == "closed"
+    assert reader.received == reader.expected
+
+
+def test_a_client_that_no_longer_takes_its_answers_in_a_drain_is_closed(rig):
+    reader = slow_reader_of_short_answers(rig())
+    reader.read_for(DRAIN_SCHEDULE.close_ms + 500.0)
+    assert reader.is_connected
+    reader.read_for(STALLED_MS + 500.0, 0)
+    assert not reader.is_connected
+
+
+def test_a_client_that_still_sends_commands_is_closed_in_a_drain_although_it_reads(rig):
+    # The specification: 4 s after a drain no connection is open that had a request in the last 2 s.
+    reader = slow_reader_of_short_answers(rig())
+    reader.read_for(DRAIN_SCHEDULE.close_ms - RECENT_COMMAND_MS + 200.0)
+    reader.conn.sendall(b"mn\r\n")
+    reader.read_for(RECENT_COMMAND_MS)
+    assert not reader.is_connected
+
+
+def test_a_shutdown_closes_a_client_that_a_drain_has_kept_for_reading(rig):
+    reader = slow_reader_of_short_answers(rig())
+    reader.read_for(DRAIN_SCHEDULE.close_ms + 500.0)
+    reader.proxy.service.stop()
+    reader.read_for(1000.0)
+    assert reader.is_connected
+    reader.read_for(LONGEST_DEADLINE_MS + KILL_DELAY_MS - 1000.0)
+    assert not reader.is_connected
+    assert reader.proxy.reactor.stopped
+
+
 def test_a_drained_process_that_stops_goes_on_with_a_long_value(rig):
     # The failure: as below; what was left of a value that was being read was lost.
     reader = Reader(rig())
