Cancel the attempts of clients found to leave one by one in bounded turns

Cause: the bound of 64 held for one call of Dispatcher.client_disconnected; each call that found the queue empty cancelled its own at once, and no sum was kept for the turn.

Change: TurnQueue keeps what a turn may still handle, and the next turn begins with all of it.

--- a/cloverwell/dispatcher.py
+++ b/cloverwell/dispatcher.py
@@ -8,8 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from cloverwell import facade as balancer_facade
 from cloverwell.back.pools import NodePools
@@ -22,6 +21,7 @@
 from cloverwell.request import Attempt, AttemptBody, Failed, NoMemory, Rejected, Request, Served
 from cloverwell.request_log import RequestLog
 from cloverwell.timer_wheel import TimerWheel
+from cloverwell.turn_queue import TurnQueue
 
 # The dispatcher fails a request that is still open this long before its client gives up. The balancer ends
 # the request's attempts two ticks and 2 ms before the deadline. With a larger margin the timer, which is
@@ -58,7 +58,8 @@
         self._counters = counts
         self._request_log = RequestLog(log, counts)
         self._open: dict[str, Request] = {}  # by request id
-        self._to_cancel: deque[Request] = deque()  # requests whose clients have disconnected
+        # requests whose clients have disconnected
+        self._to_cancel = TurnQueue(timer_wheel, MAX_CANCELLED_PER_TURN, self._cancel)
         self._is_carrying_out = False
         self._answer_all_by_ms = math.inf
         # `assembly` connects these two to discovery: the first has it watch the endpoint list, the second
@@ -153,27 +154,20 @@
         """Ends the requests of a client that has disconnected, without an answer.
 
         All of them are ended before any attempt is given up. Otherwise the connection that an attempt frees
-        could go to another request of the same client. Where many clients leave together, their attempts are
-        given up in several turns of the event loop; no attempt of an ended request is written meanwhile.
+        could go to another request of the same client. Where many clients leave, their attempts are given up
+        in several turns of the event loop; no attempt of an ended request is written meanwhile.
         """
         ended = [request for request in requests if not request.is_over]
         for request in ended:
             request.mark_over()
             self._facade.report(request, balancer_facade.ClientDisconnected())
-        if ended:
-            is_scheduled = bool(self._to_cancel)
-            self._to_cancel.extend(ended)
-            if not is_scheduled:
-                self._cancel_some()
-
-    def _cancel_some(self) -> None:
-        """Cancels the attempts of some of the requests whose clients have disconnected; others come later."""
-        for _ in range(min(MAX_CANCELLED_PER_TURN, len(self._to_cancel))):
-            request = self._to_cancel.popleft()
+        self._to_cancel.extend(ended)
+
+    def _cancel(self, requests: Iterable[Request]) -> None:
+        """Cancels the attempts of requests whose clients have disconnected."""
+        for request in requests:
             self._cancel_attempts(request)
             self._forget_if_done(request)
-        if self._to_cancel:
-            self._timer_wheel.call_in_next_turn(self._cancel_some)
         self.carry_out_due_decisions()
 
     def _cancel_attempts(self, request: Request) -> None:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -29,6 +29,7 @@
     ("cloverwell.monotonic_reactor",),
     (
         "cloverwell.timer_wheel",
+        "cloverwell.turn_queue",
         "cloverwell.loop_work",
         "cloverwell.log",
         "cloverwell.counters",
