--- a/lab/soak/defects.py
+++ b/lab/soak/defects.py
@@ -37,7 +37,7 @@
         schedule = real(longest_deadline_ms, handed_over)
         bounds = {
             name: getattr(schedule, name) + LATE_MS
-            for name in ("half_close_ms", "close_ms", "close_stream_ms", "linger_ms")
+            for name in ("half_close_ms", "close_ms", "close_stream_ms", "close_all_ms", "linger_ms")
         }
         return replace(schedule, **bounds)
 
--- a/tests/test_states_against_ends.py
+++ b/tests/test_states_against_ends.py
@@ -8,6 +8,7 @@
 import time
 
 import pytest
+from closing_record import Record
 from closing_states import (
     LONG_VALUE,
     STATES,
@@ -18,7 +19,6 @@
     NoReader,
     OverlappingAHang,
     PipelineCap,
-    Record,
     SlowReader,
 )
 from rig import WAIT_TIMEOUT_S, Rig
