Let no early timer be set for the same moment without end

Cause: Timers.pop_due makes a call up to 0.01 ms early, but the per-key order compared the exact time, so the call was scheduled for the same moment and was due again in the same loop.

Change: KeyQueue.is_settled allows for the rounding in both places that ask; pop_due makes only the calls that were scheduled before it began, so that no other call can do the same.

--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -165,7 +165,7 @@
         # All requests pass here before their first attempt, so none overtakes an earlier one for its key.
         if request.key_queue is not None and not request.attempts:
             queue = request.key_queue
-            request.queued_for_key = queue.requests[0] is not request or now < queue.settled_at_ms
+            request.queued_for_key = queue.requests[0] is not request or not queue.is_settled(now)
             if request.queued_for_key:
                 self._wait(now, request, queue.requests.index(request))
                 return
--- a/balancer/key_order.py
+++ b/balancer/key_order.py
@@ -25,7 +25,7 @@
         attempt for the key may still be running.
         """
         queue = self.queues.get(key) or KeyQueue()
-        if now < queue.settled_at_ms:
+        if not queue.is_settled(now):
             return queue.settled_at_ms
         if not queue.requests:
             self.queues.pop(key, None)
--- a/balancer/request_state.py
+++ b/balancer/request_state.py
@@ -9,6 +9,7 @@
 
 from balancer import api
 from balancer.latency import LatencyEstimate
+from balancer.timers import CLOCK_ROUNDING_MS
 
 
 @dataclass(slots=True, eq=False)
@@ -56,6 +57,10 @@
     requests: "deque[RequestState]" = field(default_factory=deque)  # the requests, oldest first
     settled_at_ms: float = -math.inf  # no request is sent before this time: an earlier attempt may be running
 
+    def is_settled(self, now: float) -> bool:
+        """Returns whether no earlier attempt may be running any more; the timer for that may come early."""
+        return now + CLOCK_ROUNDING_MS >= self.settled_at_ms
+
 
 @dataclass(slots=True, eq=False)
 class RequestState:
--- a/balancer/timers.py
+++ b/balancer/timers.py
@@ -28,12 +28,17 @@
         heapq.heappush(self._scheduled, (due_ms, next(self._sequence), callback, argument))
 
     def pop_due(self, now: float) -> Iterator[tuple[Callable[[float, Any], None], Any]]:
-        """Removes the calls that are due; yields the callback and the argument of each, earliest first."""
+        """Removes the calls that are due; yields the callback and the argument of each, earliest first.
+
+        A call that is scheduled meanwhile waits for the next timer, so that none repeats itself without end.
+        """
         if now + CLOCK_ROUNDING_MS < self._timer_due_ms:
             return
         self._timer_due_ms = math.inf
+        due = []
         while self._scheduled and self._scheduled[0][0] <= now + CLOCK_ROUNDING_MS:
-            _, _, callback, argument = heapq.heappop(self._scheduled)
+            due.append(heapq.heappop(self._scheduled))
+        for _, _, callback, argument in due:
             yield callback, argument
 
     def new_delays(self, now: float) -> list[float]:
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -1,7 +1,11 @@
 """Per-key ordering: requests for one key, of ordered classes, are sent one at a time, oldest first."""
 
+import pytest
+
 from balancer import api
 from balancer.api import Status
+from balancer.balancer import WAKE_TOKEN
+from balancer.timers import CLOCK_ROUNDING_MS, Timers
 
 ORDERED = api.RequestClass(500.0, 2000.0, api.Idempotency.KEYED, dedup_window_ms=400.0, is_ordered=True)
 OTHER = api.RequestClass(500.0, 1500.0, api.Idempotency.KEYED, dedup_window_ms=800.0, is_ordered=True)
@@ -94,3 +98,44 @@
     d.answer(names[0], Status.ERROR, 1.0)
     assert set(names) <= set(d.ended)
     assert not d.balancer._key_order.queues
+
+
+@pytest.mark.parametrize("early_ms", [0.0, CLOCK_ROUNDING_MS / 2.0, CLOCK_ROUNDING_MS])
+def test_a_timer_that_comes_a_little_early_for_the_end_of_a_wait_is_not_set_without_end(
+    drive, monkeypatch, early_ms
+):
+    # The failure: the call that asked for the next request was due, found that its key still had to wait, and
+    # was scheduled for the same moment again, without end.
+    d = ordered_driver(drive, in_doubt_hold_ms=100.0)
+    first, second = (d.ask("a", write=True) for _ in range(2))
+    d.handle(api.ClientGone(first))
+    d.handle(api.AttemptEnded(first, "origin", 0, Status.CANCELLED, 1.0, True))
+    scheduled = []
+    schedule = Timers.schedule
+
+    def record_and_schedule(timers, due_ms, callback, argument):
+        scheduled.append(due_ms)
+        assert len(scheduled) < 100, "scheduled without end"
+        schedule(timers, due_ms, callback, argument)
+
+    monkeypatch.setattr(Timers, "schedule", record_and_schedule)
+    d.now = d.balancer._key_order.queues["a"].settled_at_ms - early_ms
+    d.handle(api.TimerDue(WAKE_TOKEN))
+    assert second in d.sends
+
+
+def test_a_call_that_is_scheduled_by_a_due_call_is_made_with_the_next_timer():
+    timers = Timers()
+    calls = []
+
+    def call_again(now, number):
+        calls.append(number)
+        timers.schedule(now, call_again, number + 1)
+
+    timers.schedule(5.0, call_again, 1)
+    for count in (1, 2, 3):
+        assert timers.new_delays(5.0) == [0.0]
+        for callback, argument in timers.pop_due(5.0):
+            callback(5.0, argument)
+            assert len(calls) <= count, "made without end"
+        assert calls == list(range(1, count + 1))
