--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -91,10 +91,14 @@
         """Serve one connection until it ends."""
         raise NotImplementedError
 
-    async def stop(self) -> None:
-        """Listen no more, and end all connections."""
+    def close_port(self) -> None:
+        """Accept no new connection."""
         if self._server is not None:
             self._server.close()
+
+    async def stop(self) -> None:
+        """Listen no more, and end all connections."""
+        self.close_port()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
