--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -19,7 +19,7 @@
 import tomllib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 from urllib.parse import parse_qs, unquote, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -298,10 +298,12 @@
     """One client's connection, which sends a request once the one before it is answered."""
 
     _numbers = itertools.count(1)
+    _open: ClassVar[list[asyncio.StreamWriter]] = []
 
     def __init__(self, record: Record, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Use an open connection."""
         self._record, self._reader, self._writer = record, reader, writer
+        self._open.append(writer)
 
     @classmethod
     async def open(cls, record: Record, port: int) -> Client:
@@ -349,6 +351,13 @@
         """Close the connection."""
         self._writer.close()
 
+    @classmethod
+    async def close_all(cls) -> None:
+        """Close the connections that are still open."""
+        for writer in cls._open:
+            writer.close()
+        await asyncio.gather(*(writer.wait_closed() for writer in cls._open), return_exceptions=True)
+
 
 class Case:
     """What a case has: the record, a temporary folder, and the programs that it starts."""
@@ -400,6 +409,7 @@
                 with contextlib.suppress(ProcessLookupError):
                     os.killpg(program.pid, signal.SIGKILL)
                 await program.wait()
+        await Client.close_all()
         for server in self.servers:
             await server.stop()
 
@@ -411,6 +421,9 @@
     record.add(f"trouble: {trouble}")
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as name:
             context = Case(record, Path(name), trouble)
             try:
@@ -429,4 +442,8 @@
             sys.stdout.write("".join(f"broken: {text}\n" for text in broken[:5]))
             return RULE_BROKEN if broken else RULE_HELD
 
-    sys.exit(asyncio.run(run()))
+    try:
+        code = asyncio.run(run())
+    except asyncio.CancelledError:  # SIGTERM; what the case has started is ended by then.
+        code = NOT_RUN
+    sys.exit(code)
