Name and count what is wrong with each malformed answer

Cause: the reasons of malformed answers were free text, and only their sum was counted (node_close.malformed). A wrong chunk size and a chunk without its line end could not be told apart, by the counters not at all. Change: MalformedMessageError carries a MalformedReason; `counts` has malformed_answer.REASON for each.

--- a/cloverwell/back/cache_connection.py
+++ b/cloverwell/back/cache_connection.py
@@ -6,11 +6,13 @@
 from __future__ import annotations
 
 from cloverwell.back.node_connection import NodeConnection
-from cloverwell.codec.errors import MalformedMessageError
+from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.facade import AttemptOutcome
 from cloverwell.request import Attempt
 from cloverwell.streamed_value import MAX_STREAMED_VALUE_BYTES, STREAMING_THRESHOLD_BYTES
 
+MAX_QUOTED_BYTES = 60  # of an unknown line, in the log
+
 
 class CacheConnection(NodeConnection):
     """A connection to a cache node, which may carry several attempts at a time."""
@@ -27,7 +29,7 @@
     def lineReceived(self, line: bytes) -> None:
         """Reads an answer's first line. Raises `MalformedMessageError` for an unknown or unexpected one."""
         if not self.attempts:
-            raise MalformedMessageError("an answer without an attempt")
+            raise MalformedMessageError(MalformedReason.NO_ATTEMPT)
         words = line.split()
         match words[:1]:
             case [b"VA"] if (
@@ -46,7 +48,7 @@
                 self._check(words[1:], write=True)
                 receipts = [word[1:] for word in words[1:] if word.startswith(b"c")]
                 if not receipts:
-                    raise MalformedMessageError("an HD line without a receipt")
+                    raise MalformedMessageError(MalformedReason.NO_RECEIPT)
                 self.finish_attempt(AttemptOutcome.SERVED, receipts[0])
             case [b"EN"]:
                 self._check(words[1:])
@@ -56,7 +58,7 @@
             case [b"SERVER_ERROR"] if words[1:2] == [b"failed"]:
                 self.finish_attempt(AttemptOutcome.ERROR, has_id=False)
             case _:
-                raise MalformedMessageError(f"unknown line {line[:60]!r}")
+                raise MalformedMessageError(MalformedReason.UNKNOWN_LINE, repr(line[:MAX_QUOTED_BYTES]))
 
     def pieceReceived(self, data: bytes) -> None:
         """Passes on a piece of a long value, and expects the line end after the last piece."""
@@ -67,7 +69,7 @@
     def valueReceived(self, data: bytes) -> None:
         """Reads a whole value with its line end, or only the line end after a long value."""
         if not data.endswith(self.delimiter):
-            raise MalformedMessageError("a value without its line end")
+            raise MalformedMessageError(MalformedReason.VALUE_END)
         if self.stream is not None:
             self.end_stream()
         else:
@@ -80,6 +82,6 @@
         """
         request = self.attempts[0].request
         if b"O" + request.id.encode() not in flags:
-            raise MalformedMessageError("an answer with the id of another request")
+            raise MalformedMessageError(MalformedReason.FOREIGN_ID)
         if write not in (None, request.is_write):
-            raise MalformedMessageError("a value for a write, or a receipt for a read")
+            raise MalformedMessageError(MalformedReason.WRONG_KIND)
--- a/cloverwell/back/connection_pool.py
+++ b/cloverwell/back/connection_pool.py
@@ -7,6 +7,7 @@
 
 from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.connections.connection_loss import ConnectionLoss
+from cloverwell.connections.metrics import ConnectionMetrics
 from cloverwell.facade import AttemptOutcome
 from cloverwell.log import Log
 from cloverwell.memory_budget import MemoryBudget
@@ -22,6 +23,7 @@
     node: str
     address: tuple[str, int] | None
     log: Log
+    metrics: ConnectionMetrics
     memory: MemoryBudget
     tick_ms: float  # the most ms by which a call of `call_at` is late
     partial_answers: dict[ConnectionT, int]  # the number of checks since the last data of an answer
--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -16,12 +16,14 @@
 from cloverwell.back.connection_pool import ConnectionPool
 from cloverwell.back.partial_write import PartialWrite
 from cloverwell.back.send_result import SendResult
+from cloverwell.codec.errors import MalformedMessageError
 from cloverwell.codec.lines import BufferedLineReceiver
 from cloverwell.codec.socket_state import PEEK_FLAGS
 from cloverwell.codec.steady_socket import TryAgainError
 from cloverwell.codec.write_result import CommandWriteResult
 from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.connections.connection_loss import ConnectionLoss
+from cloverwell.connections.metrics import ConnectionEvent
 from cloverwell.connections.node_policy import ConnectionUse
 from cloverwell.facade import AttemptOutcome
 from cloverwell.memory_budget import Urgency
@@ -69,8 +71,7 @@
     @property
     def is_free(self) -> bool:
         """True if the connection is open and carries nothing, so that an attempt may be written to it."""
-        busy = self.attempts or self._partial_write or self.stream or self._discards_value
-        return not (self.ended or busy)
+        return not (self.ended or self.attempts or self._partial_write or self.stream or self._discards_value)
 
     @property
     def has_partial_write(self) -> bool:
@@ -223,9 +224,10 @@
         else:
             self._pool.partial_answers.pop(self, None)
 
-    def framingLost(self, reason: str) -> None:
+    def framingLost(self, error: MalformedMessageError) -> None:
         """Drops the connection, since the node sent a malformed answer, or only a part of one."""
-        self._pool.log.warn("answer", f"malformed answer from {self._pool.node}: {reason}")
+        self._pool.metrics.add(ConnectionEvent.MALFORMED_ANSWER, error.reason.name.lower())
+        self._pool.log.warn("answer", f"malformed answer from {self._pool.node}: {error}")
         self.drop(NodeCloseReason.MALFORMED)
 
     # A value without memory -----------------------------------------------------------------------
@@ -348,10 +350,8 @@
 
     def _request_ids(self) -> list[str]:
         """Returns the ids of the requests with an attempt here; a partly written one is last."""
-        ids = [attempt.request.id for attempt in self.attempts]
-        if self._partial_write is not None:
-            ids.append(self._partial_write.attempt.request.id)
-        return ids
+        partly_written = [] if self._partial_write is None else [self._partial_write.attempt]
+        return [attempt.request.id for attempt in [*self.attempts, *partly_written]]
 
     def _take_partly_written(self) -> Attempt | None:
         """Removes and returns the attempt whose last byte has not been written, if there is one."""
--- a/cloverwell/back/origin_connection.py
+++ b/cloverwell/back/origin_connection.py
@@ -10,7 +10,7 @@
 
 from cloverwell.back.node_connection import NodeConnection
 from cloverwell.back.pool import Pool
-from cloverwell.codec.errors import MalformedMessageError
+from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.codec.http import HttpReceiver, encode_request
 from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.facade import AttemptOutcome
@@ -45,9 +45,9 @@
     def _check(self, headers: dict[str, str]) -> None:
         """Checks that an attempt waits for an answer, and that the answer has no other request's id."""
         if not self.attempts:
-            raise MalformedMessageError("an answer without an attempt")
+            raise MalformedMessageError(MalformedReason.NO_ATTEMPT)
         if headers.get("request-id", self.attempts[0].request.id) != self.attempts[0].request.id:
-            raise MalformedMessageError("an answer with the id of another request")
+            raise MalformedMessageError(MalformedReason.FOREIGN_ID)
 
     def begin_long_body(self, status: int, headers: dict[str, str], length: int) -> bool:
         """Begins a long value and returns True if the body is one; returns False for any other body."""
@@ -91,10 +91,10 @@
         if status == 200:
             if self.attempts[0].request.is_write and not RECEIPT.fullmatch(body):
                 # Such a body would make the answer to the client invalid, or be read as a second flag.
-                raise MalformedMessageError("the body of a write's answer is not a receipt")
+                raise MalformedMessageError(MalformedReason.NOT_A_RECEIPT)
             return AttemptOutcome.SERVED
         if status in (503, 504) and headers.get("not-started") == "1":
             return AttemptOutcome.BUSY
         if 500 <= status < 600:
             return AttemptOutcome.ERROR
-        raise MalformedMessageError(f"unknown status {status}")
+        raise MalformedMessageError(MalformedReason.UNKNOWN_STATUS, str(status))
--- a/cloverwell/back/pool.py
+++ b/cloverwell/back/pool.py
@@ -14,6 +14,7 @@
 from cloverwell.back.pool_context import PoolContext
 from cloverwell.back.send_result import SendResult, outcome_without_write
 from cloverwell.back.waiting_attempts import WaitingAttempts
+from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.connections.budget import DescriptorSide
 from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.connections.connect_retry import MAX_CONNECT_WAIT_MS
@@ -34,7 +35,7 @@
         """Starts without a connection and an address; `NodePools` sets the address."""
         self._context = context
         self._policy = context.node_policy
-        self._metrics = context.metrics
+        self.metrics = context.metrics
         self.node = node
         self.is_origin = is_origin
         self.kind = "origin" if is_origin else "cache"
@@ -114,7 +115,7 @@
         if result is SendResult.BROKEN:
             connection.drop(NodeCloseReason.UNUSABLE)
         elif result is SendResult.WRITTEN and idle_age_ms is not None:
-            self._metrics.add(ConnectionEvent.REUSED, self.node)
+            self.metrics.add(ConnectionEvent.REUSED, self.node)
         return result
 
     def _write_behind_others(self, attempt: Attempt) -> None:
@@ -218,7 +219,7 @@
         others_postponed = self._opening.record_connected()
         self.connections.append(connection)
         now = connection.idle_since_ms = self.now()
-        self._metrics.add(ConnectionEvent.OPENED, self.node)
+        self.metrics.add(ConnectionEvent.OPENED, self.node)
         self._policy.record_connected(self.node, now - connection.open_started_ms, now)
         self.connection_freed(connection)
         if others_postponed:
@@ -260,7 +261,7 @@
         for _ in range(wanted_count):
             if not self._context.may_open_spare():
                 break
-            self._metrics.add(ConnectionEvent.OPENED_AHEAD, self.node)
+            self.metrics.add(ConnectionEvent.OPENED_AHEAD, self.node)
             self._opening.open()
         return wanted_count > 0
 
@@ -323,7 +324,7 @@
 
     def retire(self, connection: NodeConnection) -> None:
         """Closes an idle connection."""
-        self._metrics.add(ConnectionEvent.RETIRED, self.node)
+        self.metrics.add(ConnectionEvent.RETIRED, self.node)
         connection.drop(NodeCloseReason.RETIRED)
 
     def close_idle(self) -> None:
@@ -333,7 +334,7 @@
 
     def record_idle_close(self) -> None:
         """Counts a connection that the node closed without an attempt on it."""
-        self._metrics.add(ConnectionEvent.CLOSED_BY_NODE, self.node)
+        self.metrics.add(ConnectionEvent.CLOSED_BY_NODE, self.node)
 
     def record_loss(self, loss: ConnectionLoss) -> None:
         """Counts a connection that the node closed with an attempt on it, and reports it to the policy."""
@@ -343,7 +344,7 @@
             event = ConnectionEvent.STALE
         else:
             event = ConnectionEvent.RESET
-        self._metrics.add(event, self.node)
+        self.metrics.add(event, self.node)
         if loss.refused_on_arrival:
             self._policy.record_connect_refused(self.node, len(self.connections) - 1, self.now())
         self._policy.record_loss(self.node, loss, self.now())
@@ -359,7 +360,7 @@
         self._idle.discard(connection)
 
     def _record_close(self, reason: NodeCloseReason, requests: list[str]) -> None:
-        self._metrics.add(ConnectionEvent.NODE_CONNECTION_CLOSED, reason.value)
+        self.metrics.add(ConnectionEvent.NODE_CONNECTION_CLOSED, reason.value)
         request_ids = f", requests {' '.join(requests)}" if requests else ""
         self.log.info("node_close", f"{self.node}: {reason.value}{request_ids}")
 
@@ -367,13 +368,9 @@
 
     def sweep(self, now: float) -> None:
         """Closes stalled and old connections, and opens those for which attempts wait."""
-        stalled = [
-            connection
-            for connection in self.connections
-            if connection.stream and now - connection.stream_awaited_since_ms(now) >= STREAM_STALL_MS
-        ]
-        for connection in stalled:
-            connection.framingLost("a long value has stalled")
+        for connection in self.connections.copy():
+            if connection.stream and now - connection.stream_awaited_since_ms(now) >= STREAM_STALL_MS:
+                connection.framingLost(MalformedMessageError(MalformedReason.STALLED_VALUE))
         limit_ms = self._policy.idle_limit_ms(self.node)
         idle = self._idle.connections
         while idle and now - idle[0].idle_since_ms >= limit_ms:
--- a/cloverwell/back/pools.py
+++ b/cloverwell/back/pools.py
@@ -8,6 +8,7 @@
 from cloverwell.back.node_connection import NodeConnection
 from cloverwell.back.pool import Pool
 from cloverwell.back.pool_context import TcpConnector
+from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.connections.budget import DescriptorBudget, DescriptorSide
 from cloverwell.connections.metrics import ConnectionMetrics
 from cloverwell.connections.node_policy import NodeConnectionPolicy
@@ -74,7 +75,7 @@
         """
         for connection, checks in list(self.partial_answers.items()):
             if checks >= MAX_CHECKS_WITHOUT_DATA:
-                connection.framingLost("the answer stopped before its end")
+                connection.framingLost(MalformedMessageError(MalformedReason.STOPPED))
             else:
                 self.partial_answers[connection] = checks + 1
         self.timer_wheel.call_not_before(self.timer_wheel.now() + CHECK_MS, self._check_partial_answers)
--- a/cloverwell/codec/http.py
+++ b/cloverwell/codec/http.py
@@ -6,7 +6,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from cloverwell.codec.errors import MalformedMessageError
+from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.codec.lines import MAX_VALUE_BYTES, BufferedLineReceiver
 from cloverwell.memory_budget import MemoryAccount, MemoryBudget
 
@@ -66,18 +66,18 @@
     def _read_status_line(self, line: bytes) -> None:
         parts = line.split(None, 2)
         if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not parts[1].isdigit():
-            raise MalformedMessageError("malformed status line")
+            raise MalformedMessageError(MalformedReason.STATUS_LINE)
         self._status = int(parts[1])
 
     def _read_header(self, line: bytes) -> None:
         name, colon, value = line.decode("latin-1").partition(":")
         self._header_lines += 1  # Lines are counted, not names: one name could be repeated without end.
         if not colon or self._header_lines > MAX_HEADER_LINES:
-            raise MalformedMessageError("malformed header")
+            raise MalformedMessageError(MalformedReason.HEADER)
         name, value = name.strip().lower(), value.strip()
         if name == "content-length" and self._headers.get(name, value) != value:
             # With either length, the body might end in the wrong place.
-            raise MalformedMessageError("conflicting Content-Length headers")
+            raise MalformedMessageError(MalformedReason.CONFLICTING_LENGTHS)
         self._headers[name] = value
 
     def _headers_complete(self) -> None:
@@ -98,7 +98,7 @@
         if is_number and self.begin_long_body(self._status, self._headers, int(length)):
             return
         if not is_number or int(length) > self.max_body_bytes:
-            raise MalformedMessageError("no valid Content-Length, or more than the limit")
+            raise MalformedMessageError(MalformedReason.CONTENT_LENGTH)
         self._body_bytes_left = int(length)
         self._expect_more()
 
@@ -116,7 +116,7 @@
             return
         self._collect(data)
         if self._received_bytes > self.max_body_bytes:
-            raise MalformedMessageError("body too long")
+            raise MalformedMessageError(MalformedReason.BODY_TOO_LONG)
 
     def _collect(self, data: bytes) -> None:
         self._body.append(data)
@@ -135,7 +135,7 @@
             try:
                 self._complete()
             except MalformedMessageError as error:
-                self.framingLost(str(error))
+                self.framingLost(error)
         super().connectionLost(reason)
         self._body_account.hold(0)
 
@@ -157,9 +157,9 @@
         try:
             size = int(line.split(b";")[0], 16)
         except ValueError:
-            raise MalformedMessageError("malformed chunk size") from None
+            raise MalformedMessageError(MalformedReason.CHUNK_SIZE) from None
         if size < 0 or self._received_bytes + size > self.max_body_bytes:
-            raise MalformedMessageError("body too long")
+            raise MalformedMessageError(MalformedReason.BODY_TOO_LONG)
         self._body_bytes_left = 0
         if size:
             self._body_bytes_left = size
--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -10,7 +10,7 @@
 
 from cloverwell.codec.byte_queue import ByteQueue
 from cloverwell.codec.delivery import Delivery
-from cloverwell.codec.errors import MalformedMessageError
+from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.codec.line_allowance import unlimited_allowance
 from cloverwell.codec.socket_state import unacknowledged_bytes
 from cloverwell.codec.steady_socket import install_steady_socket
@@ -124,7 +124,7 @@
                 self._incoming.bound = max(self._incoming.bound, len(self._incoming) + len(data))
             written_count = self._incoming.write(data)
             if not written_count:
-                self.framingLost("message too long")
+                self.framingLost(MalformedMessageError(MalformedReason.MESSAGE_TOO_LONG))
                 return
             data = data[written_count:]
             self._unbuffered_bytes = len(data)
@@ -191,7 +191,7 @@
                 else:
                     line_end = data.find(b"\r\n", start)
                     if line_end - start > self.MAX_LENGTH or (line_end < 0 and end - start > self.MAX_LENGTH):
-                        raise MalformedMessageError("line too long")
+                        raise MalformedMessageError(MalformedReason.LINE_TOO_LONG)
                     if line_end < 0:
                         return data[start:]
                     if not lines_left or allowance.left <= 0:
@@ -203,7 +203,7 @@
                     self.unparsed_bytes = end - position + self._unbuffered_bytes
                     self.lineReceived(data[start:line_end])
         except MalformedMessageError as error:
-            self.framingLost(str(error))
+            self.framingLost(error)
         finally:
             self._parsing = False
         return data[position:]
@@ -249,7 +249,7 @@
         """Is called with each piece of the long value that `expect_pieces` announced."""
         raise NotImplementedError
 
-    def framingLost(self, reason: str) -> None:
+    def framingLost(self, error: MalformedMessageError) -> None:
         """Is called when the received bytes are malformed; all that follow are discarded."""
         raise NotImplementedError
 
--- a/cloverwell/connections/metrics.py
+++ b/cloverwell/connections/metrics.py
@@ -24,6 +24,7 @@
     STALE_DETECTED = "caught"
     RESET = "reset"  # An attempt was lost on a new or busy connection.
     NODE_CONNECTION_CLOSED = "node_close"  # A connection to a node ended; counted by `NodeCloseReason`.
+    MALFORMED_ANSWER = "malformed_answer"  # A node's answer was malformed; counted by `MalformedReason`.
     # Connections of clients.
     ACCEPTED = "admitted"  # A client's connection was accepted.
     CLOSED_BY_PROXY = "closed_front"  # The proxy closed a client's connection; counted by `CloseReason`.
--- a/cloverwell/front/command_receiver.py
+++ b/cloverwell/front/command_receiver.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 
+from cloverwell.codec.errors import MalformedMessageError
 from cloverwell.codec.lines import MAX_LINE_BYTES, MAX_WRITE_BYTES, BufferedLineReceiver
 from cloverwell.codec.meta import CommandError, CommandFields
 from cloverwell.connections.arrival import CommandArrival
@@ -146,6 +147,6 @@
         self.request_received(fields, True, data[:-2])
         self._arrival.record_command_complete()
 
-    def framingLost(self, reason: str) -> None:
+    def framingLost(self, error: MalformedMessageError) -> None:
         """Handle a line or value that is too long, after which the next command can't be found."""
-        self.reject_and_close(reason)
+        self.reject_and_close(str(error))
--- a/cloverwell/membership/watch_connection.py
+++ b/cloverwell/membership/watch_connection.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.python.failure import Failure
 
+from cloverwell.codec.errors import MalformedMessageError
 from cloverwell.codec.http import HttpReceiver, encode_request
 from cloverwell.codec.write_result import WriteResult
 from cloverwell.membership.endpoint_list import MAX_LIST_BYTES
@@ -111,11 +112,11 @@
         if self._observer.is_current(self):
             self._observer.poll_answered(status, body)
 
-    def framingLost(self, reason: str) -> None:
+    def framingLost(self, error: MalformedMessageError) -> None:
         """Close the connection, as nothing that follows a malformed answer can be parsed."""
         self.end(abort=True)
         if self._observer.is_current(self):
-            self._observer.poll_failed(f"malformed: {reason}")
+            self._observer.poll_failed(f"malformed: {error}")
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Report the end of the connection if a poll was pending on it."""
--- a/cloverwell/metrics_log.py
+++ b/cloverwell/metrics_log.py
@@ -18,7 +18,11 @@
     ConnectionEvent.RESET,
 )
 # The events whose reasons are counted one by one, as `EVENT.REASON`.
-EVENTS_BY_REASON = (ConnectionEvent.CLIENT_CONNECTION_CLOSED, ConnectionEvent.NODE_CONNECTION_CLOSED)
+EVENTS_BY_REASON = (
+    ConnectionEvent.CLIENT_CONNECTION_CLOSED,
+    ConnectionEvent.NODE_CONNECTION_CLOSED,
+    ConnectionEvent.MALFORMED_ANSWER,
+)
 
 
 class MetricsLog:
