Decode chunked answers by the grammar, and refuse all else

Cause: HttpReceiver passed over what it did not expect. It never required the CR LF behind a chunk's data, took any line there for the next size, skipped empty lines wherever they stood, and read sizes with int(), which takes signs, 0x, underscores and white space. Trailer lines were not read at all. A malformed body is a reset attempt, its connection is closed, its reason counted. Why this works: no byte is passed over, so that a body is whole only if each of its bytes is one that the grammar has there.

--- a/cloverwell/codec/http.py
+++ b/cloverwell/codec/http.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import sys
+
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from cloverwell.codec.chunked_body import ChunkedBodyDecoder, ChunkedState
 from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.codec.lines import MAX_VALUE_BYTES, BufferedLineReceiver
 from cloverwell.memory_budget import MemoryAccount, MemoryBudget
 
 MAX_HEADER_LINES = 64
+UNLIMITED_LINES = sys.maxsize
+UNLIMITED_BYTES = sys.maxsize
 
 
 def encode_request(
@@ -46,17 +51,12 @@
         self._body: list[bytes] = []
         self._body_account.hold(0)
         self._received_bytes = self._header_lines = 0  # the bytes of the body and lines of the head
-        self._chunked = self._in_trailer = False
+        self._chunks: ChunkedBodyDecoder | None = None  # decodes a body in chunks
         self._until_close = False
 
     def lineReceived(self, line: bytes) -> None:
-        """Reads a line of the head or the trailer, or a chunk's size. Raises `MalformedMessageError`."""
-        if self._in_trailer:
-            if not line:
-                self._complete()
-        elif self._chunked:
-            self._read_chunk_line(line)
-        elif not self._status:
+        """Reads a line of the head. Raises `MalformedMessageError`."""
+        if not self._status:
             self._read_status_line(line)
         elif line:
             self._read_header(line)
@@ -84,7 +84,8 @@
         if self._status < 200:  # This is an interim answer; the final one follows.
             self._reset()
         elif self._headers.get("transfer-encoding", "").lower() == "chunked":
-            self._chunked = True
+            self._chunks = ChunkedBodyDecoder(self.max_body_bytes)
+            self.expect_pieces(UNLIMITED_BYTES)
         else:
             self._begin_body()
 
@@ -110,13 +111,26 @@
         return False
 
     def pieceReceived(self, data: bytes) -> None:
-        """Collects a piece of a body that ends with the connection; a subclass handles any other piece."""
-        if not self._until_close:
+        """Collects a piece of a body without a length; a subclass handles any other piece."""
+        if self._chunks is not None:
+            self._decode_chunks(self._chunks, data)
+        elif self._until_close:
+            self._collect(data)
+            if self._received_bytes > self.max_body_bytes:
+                raise MalformedMessageError(MalformedReason.BODY_TOO_LONG)
+        else:
             super().pieceReceived(data)
-            return
-        self._collect(data)
-        if self._received_bytes > self.max_body_bytes:
-            raise MalformedMessageError(MalformedReason.BODY_TOO_LONG)
+
+    def _decode_chunks(self, chunks: ChunkedBodyDecoder, data: bytes) -> None:
+        part = chunks.decode(data, UNLIMITED_LINES)
+        for piece in part.pieces:
+            self._collect(piece)
+            if self.ended:
+                return
+        if chunks.state is ChunkedState.COMPLETE:
+            self.expect_pieces(0)
+            self.return_bytes(part.unused_bytes)
+            self._complete()
 
     def _collect(self, data: bytes) -> None:
         self._body.append(data)
@@ -140,7 +154,7 @@
         self._body_account.hold(0)
 
     def _expect_more(self) -> None:
-        """Expects the next part of the body, or completes the answer.
+        """Expects the next part of a body with a length, or completes the answer.
 
         A body may be larger than the ring of incoming bytes, so it is read in parts.
         """
@@ -151,28 +165,10 @@
         else:
             self._complete()
 
-    def _read_chunk_line(self, line: bytes) -> None:
-        if not line and self._received_bytes:  # This is the line end after a chunk.
-            return
-        try:
-            size = int(line.split(b";")[0], 16)
-        except ValueError:
-            raise MalformedMessageError(MalformedReason.CHUNK_SIZE) from None
-        if size < 0 or self._received_bytes + size > self.max_body_bytes:
-            raise MalformedMessageError(MalformedReason.BODY_TOO_LONG)
-        self._body_bytes_left = 0
-        if size:
-            self._body_bytes_left = size
-            self._expect_more()
-        else:
-            self._in_trailer = True
-
     def valueReceived(self, data: bytes) -> None:
-        """Collects a part of a body, and expects the next one."""
+        """Collects a part of a body with a length, and expects the next one."""
         self._collect(data)
-        if self.ended:
-            return
-        if self._body_bytes_left or not self._chunked:
+        if not self.ended:
             self._expect_more()
 
     def _complete(self) -> None:
--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -52,6 +52,7 @@
         "_memory",
         "_outgoing",
         "_parsing",
+        "_returned_bytes",
         "_socket",
         "_streamed_bytes_left",
         "_transport_account",
@@ -81,6 +82,7 @@
         self._connection_account = MemoryAccount(self._memory, MemoryUse.CONNECTIONS)
         self._awaited_bytes = 0  # the size of the value that comes next, with its line end; 0 before a line
         self._streamed_bytes_left = 0  # the number of bytes of a long value that have not arrived
+        self._returned_bytes = 0  # the number of bytes of the last piece that `return_bytes` gave back
         self._unbuffered_bytes = 0  # the number of bytes read from the socket that are not in the queue yet
         self.unparsed_bytes = 0  # the number of bytes after the message that is being handled
         self._held = False  # whether `hold` has paused the reading
@@ -182,6 +184,8 @@
                     self._streamed_bytes_left -= position - start
                     self.unparsed_bytes = end - position + self._unbuffered_bytes
                     self.pieceReceived(data[start:position])
+                    position -= self._returned_bytes
+                    self._returned_bytes = 0
                 elif self._awaited_bytes:
                     position += self._awaited_bytes
                     if position > end:
@@ -216,6 +220,11 @@
         """Makes the next message a long value, which is passed on by `pieceReceived` as it arrives."""
         self._streamed_bytes_left = size_bytes
 
+    def return_bytes(self, count: int) -> None:
+        """Gives the last `count` bytes of the piece that is being handled back, to be passed on again."""
+        self._returned_bytes = count
+        self.unparsed_bytes += count
+
     def hold(self) -> None:
         """Stops reading and passing on messages until `release`, so that the sender has to wait."""
         if not self._held:
--- /dev/null
+++ b/tests/test_malformed_origin_answers.py
@@ -0,0 +1,90 @@
+"""An origin's answer that is framed wrongly is a failed attempt that may have run, and is never served.
+
+Runs on real sockets. The origin of these tests sends an answer by hand, in one piece or byte by byte.
+"""
+
+import re
+
+import pytest
+from rig import read, write
+
+from cloverwell.codec.errors import MalformedReason
+
+VALUE = b"12.90"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+RIGHT = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" + VALUE
+
+MALFORMED_CHUNKS = {
+    "one byte too long": (b"6\r\n12.90\r\n0\r\n\r\n", "CHUNK_END"),
+    "two bytes too long": (b"7\r\n12.90\r\n0\r\n\r\n", "CHUNK_END"),
+    "one byte too short": (b"4\r\n12.90\r\n0\r\n\r\n", "CHUNK_END"),
+    "a signed size": (b"+5\r\n12.90\r\n0\r\n\r\n", "CHUNK_SIZE"),
+    "an empty size": (b"\r\n12.90\r\n0\r\n\r\n", "CHUNK_SIZE"),
+    "a trailer that is no field": (b"5\r\n12.90\r\n0\r\n???\r\n\r\n", "TRAILER"),
+    "a size of 3 GB": (b"C0000000\r\n12.90", "BODY_TOO_LONG"),
+}
+CHUNK_CASES = [pytest.param(body, reason, id=name) for name, (body, reason) in MALFORMED_CHUNKS.items()]
+
+
+def miss(rig):
+    """Has the cache node answer its read with a miss."""
+    node = rig.nodes[0].accept()
+    line = rig.receive_until(node, b"\r\n")
+    node.sendall(b"EN O%s\r\n" % re.search(rb" O(\S+)", line)[1])
+
+
+def send(rig, connection, answer, byte_by_byte=False):
+    """Sends an answer, which the proxy gets in one piece or byte by byte."""
+    for piece in [answer[at : at + 1] for at in range(len(answer))] if byte_by_byte else [answer]:
+        try:
+            connection.sendall(piece)
+        except ConnectionError:  # The proxy has closed it already.
+            return
+        rig.run_iterations(1)
+
+
+def origin_request(rig, connection, target):
+    """Waits for a request at the origin."""
+    rig.receive_until(connection, target)
+
+
+@pytest.mark.parametrize("byte_by_byte", [False, True])
+@pytest.mark.parametrize(("body", "reason"), CHUNK_CASES)
+def test_a_read_with_a_malformed_chunk_is_tried_again(rig, body, reason, byte_by_byte):
+    # Guards against a value that is served with the bytes behind it, or without its last byte.
+    place = rig()
+    client = place.client(read(1))
+    miss(place)
+    first = place.origin.accept()
+    origin_request(place, first, b"GET /k1 ")
+    send(place, first, CHUNKED + body, byte_by_byte)
+    second = place.origin.accept()
+    origin_request(place, second, b"GET /k1 ")
+    send(place, second, RIGHT)
+    assert place.receive_until(client, b"12.90\r\n") == b"VA 5 O1\r\n12.90\r\n"
+    assert place.receive_to_end(first) in (b"END", b"RESET")  # It carries nothing any more.
+    assert_named(place, reason)
+
+
+@pytest.mark.parametrize(("body", "reason"), CHUNK_CASES)
+def test_a_write_with_a_malformed_chunk_is_not_sent_again(rig, body, reason):
+    # Guards against a write that must not run twice and is repeated behind a malformed answer.
+    place = rig()
+    client = place.client(write(1))
+    first = place.origin.accept()
+    origin_request(place, first, b"PUT /k1 ")
+    send(place, first, CHUNKED + body)
+    answer = place.receive_until(client, b"\r\n")
+    assert answer.startswith(b"SERVER_ERROR")
+    assert b"busy" not in answer
+    place.run_iterations(20)
+    assert place.origin.accept_nowait() is None
+    assert_named(place, reason)
+
+
+def assert_named(place, reason):
+    """Checks that the log names what was wrong, and that it is counted under that name."""
+    named = MalformedReason[reason]
+    assert f"malformed answer from origin: {named.value}" in place.log.getvalue()
+    place.service._metrics_log.log_final()
+    assert f"malformed_answer.{reason.lower()}=1" in place.log.getvalue()
