Read all lines of an HTTP answer's head together, by RFC 9112

Callers saw: a value in a coding that was not decoded, or cut where the second of two contradicting lines said; and right answers refused: no length and no announced close. Cause: a dictionary in which the last line of a name won, and each name looked up alone. Change: codec/http_head.py, without I/O: lines by the grammar, several lines of a name as one list, the body's end decided in one place (6.3), the connection's end in another (9.3). Why this works: a contradiction is seen where the body's end is decided, and refused.

--- a/cloverwell/back/origin_connection.py
+++ b/cloverwell/back/origin_connection.py
@@ -12,6 +12,7 @@
 from cloverwell.back.pool import Pool
 from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.codec.http import HttpReceiver, encode_request
+from cloverwell.codec.http_head import ResponseHead
 from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.facade import AttemptOutcome
 from cloverwell.memory_budget import MemoryAccount
@@ -49,14 +50,14 @@
         if headers.get("request-id", self.attempts[0].request.id) != self.attempts[0].request.id:
             raise MalformedMessageError(MalformedReason.FOREIGN_ID)
 
-    def begin_long_body(self, status: int, headers: dict[str, str], length: int) -> bool:
+    def begin_long_body(self, head: ResponseHead, length: int) -> bool:
         """Begins a long value and returns True if the body is one; returns False for any other body."""
-        if status != 200 or not STREAMING_THRESHOLD_BYTES < length <= MAX_STREAMED_VALUE_BYTES:
+        if head.status != 200 or not STREAMING_THRESHOLD_BYTES < length <= MAX_STREAMED_VALUE_BYTES:
             return False
-        self._check(headers)
+        self._check(head.headers)
         if self.attempts[0].request.is_write:
             return False
-        self._close_after_answer = headers.get("connection", "").lower() == "close"
+        self._close_after_answer = head.closes_connection()
         self.begin_stream(length)
         return True
 
@@ -75,15 +76,14 @@
         self.drop(NodeCloseReason.NO_MEMORY)
         attempt.end(AttemptOutcome.SERVED, NoMemory())
 
-    def answer_received(self, status: int, headers: dict[str, str], body: bytes) -> None:
+    def answer_received(self, head: ResponseHead, body: bytes, closes: bool) -> None:
         """Ends the attempt with an answer. Raises `MalformedMessageError` for an unknown or unwanted one."""
-        self._check(headers)
-        closing = headers.get("connection", "").lower() == "close"
-        if closing:
+        self._check(head.headers)
+        if closes:
             self.ended = True  # This prevents another attempt from being written here when this one ends.
-        outcome = self._outcome(status, headers, body)
+        outcome = self._outcome(head.status, head.headers, body)
         self.finish_attempt(outcome, body if outcome is AttemptOutcome.SERVED else b"", has_id=False)
-        if closing:
+        if closes:
             self.ended = False
             self.drop(NodeCloseReason.LAST_ANSWER)
 
--- a/cloverwell/codec/http.py
+++ b/cloverwell/codec/http.py
@@ -10,10 +10,10 @@
 
 from cloverwell.codec.chunked_body import ChunkedBodyDecoder, ChunkedState
 from cloverwell.codec.errors import MalformedMessageError, MalformedReason
+from cloverwell.codec.http_head import BodyEnd, ResponseHead
 from cloverwell.codec.lines import MAX_VALUE_BYTES, BufferedLineReceiver
 from cloverwell.memory_budget import MemoryAccount, MemoryBudget
 
-MAX_HEADER_LINES = 64
 UNLIMITED_LINES = sys.maxsize
 UNLIMITED_BYTES = sys.maxsize
 
@@ -33,7 +33,7 @@
     """Calls `answer_received` once for each complete answer.
 
     The end of a body is given by its length, by the last chunk, or by the close of the connection if the
-    answer has the header `Connection: close`.
+    answer has neither a length nor chunks.
     """
 
     max_body_bytes = MAX_VALUE_BYTES
@@ -46,64 +46,45 @@
 
     def _reset(self) -> None:
         """Returns to the state before an answer."""
-        self._status = 0
-        self._headers: dict[str, str] = {}
+        self._head = ResponseHead()
         self._body: list[bytes] = []
         self._body_account.hold(0)
-        self._received_bytes = self._header_lines = 0  # the bytes of the body and lines of the head
+        self._received_bytes = 0  # the bytes of the body
         self._chunks: ChunkedBodyDecoder | None = None  # decodes a body in chunks
         self._until_close = False
 
     def lineReceived(self, line: bytes) -> None:
         """Reads a line of the head. Raises `MalformedMessageError`."""
-        if not self._status:
-            self._read_status_line(line)
+        if not self._head.status:
+            self._head.add_status_line(line)
         elif line:
-            self._read_header(line)
+            self._head.add_field(line)
         else:
             self._headers_complete()
 
-    def _read_status_line(self, line: bytes) -> None:
-        parts = line.split(None, 2)
-        if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not parts[1].isdigit():
-            raise MalformedMessageError(MalformedReason.STATUS_LINE)
-        self._status = int(parts[1])
-
-    def _read_header(self, line: bytes) -> None:
-        name, colon, value = line.decode("latin-1").partition(":")
-        self._header_lines += 1  # Lines are counted, not names: one name could be repeated without end.
-        if not colon or self._header_lines > MAX_HEADER_LINES:
-            raise MalformedMessageError(MalformedReason.HEADER)
-        name, value = name.strip().lower(), value.strip()
-        if name == "content-length" and self._headers.get(name, value) != value:
-            # With either length, the body might end in the wrong place.
-            raise MalformedMessageError(MalformedReason.CONFLICTING_LENGTHS)
-        self._headers[name] = value
-
     def _headers_complete(self) -> None:
-        if self._status < 200:  # This is an interim answer; the final one follows.
+        if self._head.is_interim:
             self._reset()
-        elif self._headers.get("transfer-encoding", "").lower() == "chunked":
+            return
+        end = self._head.body_end()
+        if end is BodyEnd.LAST_CHUNK:
             self._chunks = ChunkedBodyDecoder(self.max_body_bytes)
             self.expect_pieces(UNLIMITED_BYTES)
+        elif end is BodyEnd.CLOSE:
+            self._until_close = True
+            self.expect_pieces(UNLIMITED_BYTES)
         else:
-            self._begin_body()
+            self._begin_body(end)
 
-    def _begin_body(self) -> None:
-        length = self._headers.get("content-length", "0" if self._status in (204, 304) else "")
-        if not length and self._headers.get("connection", "").lower() == "close":
-            self._until_close = True
-            self.expect_pieces(self.max_body_bytes + 1)
-            return
-        is_number = length.isascii() and length.isdigit()
-        if is_number and self.begin_long_body(self._status, self._headers, int(length)):
+    def _begin_body(self, length: int) -> None:
+        if self.begin_long_body(self._head, length):
             return
-        if not is_number or int(length) > self.max_body_bytes:
-            raise MalformedMessageError(MalformedReason.CONTENT_LENGTH)
-        self._body_bytes_left = int(length)
+        if length > self.max_body_bytes:
+            raise MalformedMessageError(MalformedReason.BODY_TOO_LONG)
+        self._body_bytes_left = length
         self._expect_more()
 
-    def begin_long_body(self, _status: int, _headers: dict[str, str], _length: int) -> bool:
+    def begin_long_body(self, _head: ResponseHead, _length: int) -> bool:
         """Returns whether a subclass reads the body in pieces; it then calls `_reset` after the last one.
 
         Here it returns False, so that the body is collected.
@@ -172,10 +153,11 @@
             self._expect_more()
 
     def _complete(self) -> None:
-        status, headers, body = self._status, self._headers, b"".join(self._body)
+        head, body = self._head, b"".join(self._body)
+        closes = self._until_close or head.closes_connection()
         self._reset()
-        self.answer_received(status, headers, body)
+        self.answer_received(head, body, closes)
 
-    def answer_received(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        """Is called with each complete answer; the names of the headers are in lower case."""
+    def answer_received(self, head: ResponseHead, body: bytes, closes: bool) -> None:
+        """Is called with each complete answer; `closes`: the connection carries no further one."""
         raise NotImplementedError
--- a/cloverwell/membership/watch_connection.py
+++ b/cloverwell/membership/watch_connection.py
@@ -11,6 +11,7 @@
 
 from cloverwell.codec.errors import MalformedMessageError
 from cloverwell.codec.http import HttpReceiver, encode_request
+from cloverwell.codec.http_head import ResponseHead
 from cloverwell.codec.write_result import WriteResult
 from cloverwell.membership.endpoint_list import MAX_LIST_BYTES
 from cloverwell.memory_budget import MemoryBudget, MemoryUse
@@ -104,13 +105,13 @@
         if self._awaits_room:
             self._send_poll()
 
-    def answer_received(self, status: int, headers: dict[str, str], body: bytes) -> None:
+    def answer_received(self, head: ResponseHead, body: bytes, closes: bool) -> None:
         """Report an answer, after closing the connection if discovery closes it too."""
-        if headers.get("connection", "").lower() == "close":
+        if closes:
             self.end()
         self._reused = True
         if self._observer.is_current(self):
-            self._observer.poll_answered(status, body)
+            self._observer.poll_answered(head.status, body)
 
     def framingLost(self, error: MalformedMessageError) -> None:
         """Close the connection, as nothing that follows a malformed answer can be parsed."""
--- a/tests/test_chunked_bodies.py
+++ b/tests/test_chunked_bodies.py
@@ -4,17 +4,14 @@
 gets it split anywhere.
 """
 
-import itertools
 import re
 
-import h11
 import pytest
+from http_receiver import judge_with_h11, receive
 from http_reference import SIZE_LINE, Verdict, read_chunked_body
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
-from twisted.internet.testing import StringTransport
 
-from cloverwell.codec.http import HttpReceiver
 from cloverwell.codec.lines import MAX_VALUE_BYTES
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -37,62 +34,6 @@
 SPLITS = st.lists(st.integers(0, 10_000), max_size=6)
 
 
-class Receiver(HttpReceiver):
-    """Keeps the bodies of the answers, and whether something malformed came."""
-
-    def __init__(self):
-        super().__init__()
-        self.transport = StringTransport()
-        self.bodies = []
-        self.is_malformed = False
-
-    def answer_received(self, *parts):
-        self.bodies.append(next(part for part in parts if isinstance(part, bytes)))
-
-    def framingLost(self, _reason):
-        self.is_malformed = True
-        self.ended = True
-
-    def memory_refused(self):
-        raise AssertionError("there is no limit")
-
-
-def pieces(message, splits):
-    """Returns the message, split at these places, each modulo its length."""
-    places = [0, *sorted(split % (len(message) + 1) for split in splits), len(message)]
-    return [message[start:end] for start, end in itertools.pairwise(places)]
-
-
-def receive(message, splits=()):
-    """Returns what the proxy makes of the first answer in a message."""
-    receiver = Receiver()
-    for piece in pieces(message, splits):
-        receiver.dataReceived(piece)
-        if receiver.bodies:
-            return Verdict.COMPLETE, receiver.bodies[0]
-    return (Verdict.MALFORMED if receiver.is_malformed else Verdict.INCOMPLETE), b""
-
-
-def judge_with_h11(message):
-    """Returns what h11 makes of the first answer in a message."""
-    connection = h11.Connection(h11.CLIENT)
-    connection.send(h11.Request(method="GET", target="/k", headers=[("Host", "origin")]))
-    connection.send(h11.EndOfMessage())
-    connection.receive_data(message)
-    body = b""
-    try:
-        while True:
-            match connection.next_event():
-                case h11.Data() as event:
-                    body += bytes(event.data)
-                case h11.EndOfMessage():
-                    return Verdict.COMPLETE, body
-                case h11.NEED_DATA:
-                    return Verdict.INCOMPLETE, b""
-    except h11.RemoteProtocolError:
-        return Verdict.MALFORMED, b""
-
-
 def expected(body):
     found = read_chunked_body(body, MAX_VALUE_BYTES)
     return found.verdict, found.data
--- a/tests/test_malformed_origin_answers.py
+++ b/tests/test_malformed_origin_answers.py
@@ -25,6 +25,26 @@
 }
 CHUNK_CASES = [pytest.param(body, reason, id=name) for name, (body, reason) in MALFORMED_CHUNKS.items()]
 
+MALFORMED_HEADS = {
+    "two lengths": (b"Content-Length: 5\r\nContent-Length: 4", b"12.90", "CONFLICTING_LENGTHS"),
+    "a length and chunks": (
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked",
+        b"5\r\n12.90\r\n0\r\n\r\n",
+        "LENGTH_AND_CODING",
+    ),
+    "another coding": (b"Transfer-Encoding: gzip\r\nContent-Length: 5", b"12.90", "LENGTH_AND_CODING"),
+    "a coding below the chunks": (
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        b"5\r\n12.90\r\n0\r\n\r\n",
+        "TRANSFER_CODING",
+    ),
+    "an empty length": (b"Content-Length: \r\nConnection: close", b"12.90", "CONTENT_LENGTH"),
+    "a folded line": (b"Via: a\r\n Content-Length: 4\r\nContent-Length: 5", b"12.90", "HEADER"),
+    "LF in a value": (b"Via: a\nContent-Length: 4\r\nContent-Length: 5", b"12.90", "HEADER"),
+    "two ids": (b"Request-Id: other\r\nRequest-Id: 1\r\nContent-Length: 5", b"12.90", "FOREIGN_ID"),
+}
+HEAD_CASES = [pytest.param(*case, id=name) for name, case in MALFORMED_HEADS.items()]
+
 
 def miss(rig):
     """Has the cache node answer its read with a miss."""
@@ -82,6 +102,34 @@
     assert_named(place, reason)
 
 
+@pytest.mark.parametrize(("lines", "body", "reason"), HEAD_CASES)
+def test_a_read_with_a_head_that_contradicts_itself_is_tried_again(rig, lines, body, reason):
+    # Guards against a head of which one line is read and another one that contradicts it is passed over.
+    place = rig()
+    client = place.client(read(1))
+    miss(place)
+    first = place.origin.accept()
+    origin_request(place, first, b"GET /k1 ")
+    send(place, first, b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n\r\n" + body)
+    second = place.origin.accept()
+    origin_request(place, second, b"GET /k1 ")
+    send(place, second, RIGHT)
+    assert place.receive_until(client, b"12.90\r\n") == b"VA 5 O1\r\n12.90\r\n"
+    assert_named(place, reason)
+
+
+def test_a_value_without_a_length_is_served_at_the_close(rig):
+    # Guards against a right answer that is refused because no header announces the close.
+    place = rig()
+    client = place.client(read(1))
+    miss(place)
+    origin = place.origin.accept()
+    origin_request(place, origin, b"GET /k1 ")
+    send(place, origin, b"HTTP/1.1 200 OK\r\n\r\n" + VALUE)
+    origin.close()
+    assert place.receive_until(client, b"12.90\r\n") == b"VA 5 O1\r\n12.90\r\n"
+
+
 def assert_named(place, reason):
     """Checks that the log names what was wrong, and that it is counted under that name."""
     named = MalformedReason[reason]
