Move the writing of attempts out of node_connection.py

Change: back/attempt_writer.py has the writing side (send, the last byte held back), as the base class of NodeConnection. No behaviour changes.

--- a/tests/held_client.py
+++ b/tests/held_client.py
@@ -4,7 +4,8 @@
 
 from scenario import Player
 
-from cloverwell.back.node_connection import LATE_DATA_MS, MAX_READ_BYTES, STREAM_READ_BYTES
+from cloverwell.back.attempt_writer import MAX_READ_BYTES
+from cloverwell.back.node_connection import LATE_DATA_MS, STREAM_READ_BYTES
 
 LINE_END = b"\r\n"
 
