Keep a chunked body in one buffer, and decode it in bounded turns

Callers saw: with an origin that sends values of 1 MiB in chunks of two bytes, a process that is told 32 MB takes 46.9 MB (the kill), and usual reads wait up to 0.99 s. Cause: the body was a list of its chunks, charged by its data alone, and one turn of the event loop decoded a whole read, up to 10,900 chunks. Lines of heads were not charged. Change: one bytearray, charged by what it takes; 512 sizes a turn, then the connection is held until the next one; whole chunks are decoded in one loop. Why this works: what is kept and what is charged are the same buffer, and no read can take a turn longer than its 512 sizes.

--- a/cloverwell/back/connection_pool.py
+++ b/cloverwell/back/connection_pool.py
@@ -38,6 +38,9 @@
     def call_at(self, when_ms: float, call: Callable[[], None]) -> Timer:
         """Calls `call` at the time `when_ms`, or up to a tick later."""
 
+    def call_in_next_turn(self, call: Callable[[], None]) -> None:
+        """Calls `call` in the next turn of the event loop."""
+
     def hold_ms(self) -> float:
         """Returns the time in ms for which the last byte of an attempt is held back."""
 
--- a/cloverwell/back/origin_connection.py
+++ b/cloverwell/back/origin_connection.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from urllib.parse import quote
 
 from cloverwell.back.node_connection import NodeConnection
@@ -68,6 +69,10 @@
             self._reset()
             self.end_stream(has_id=False)
 
+    def call_in_next_turn(self, call: Callable[[], None]) -> None:
+        """Has the next turn of the event loop make the call."""
+        self._pool.call_in_next_turn(call)
+
     def memory_refused(self) -> None:
         """Gives up a read whose value has no memory. A write's receipt is short, and read in any case."""
         if not self.attempts or self.attempts[0].request.is_write:
--- a/cloverwell/back/pool.py
+++ b/cloverwell/back/pool.py
@@ -44,6 +44,7 @@
         self.now = context.timer_wheel.now
         self.memory = context.memory
         self.call_at = context.timer_wheel.call_not_before  # may call up to a tick later
+        self.call_in_next_turn = context.timer_wheel.call_in_next_turn
         self.tick_ms = context.timer_wheel.granularity_ms
         self.connections: list[NodeConnection] = []
         self.has_left = False  # whether the node drains, or is no longer in the endpoint list
--- a/cloverwell/codec/http.py
+++ b/cloverwell/codec/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import connectionDone
@@ -14,8 +15,10 @@
 from cloverwell.codec.lines import MAX_VALUE_BYTES, BufferedLineReceiver
 from cloverwell.memory_budget import MemoryAccount, MemoryBudget
 
-UNLIMITED_LINES = sys.maxsize
+# Each takes some microseconds, so that other connections wait for a turn of about a millisecond.
+MAX_CHUNK_LINES_PER_TURN = 512
 UNLIMITED_BYTES = sys.maxsize
+FREE_HEAD_BYTES = 1024  # of a head, which the account of the connection itself covers
 
 
 def encode_request(
@@ -47,9 +50,8 @@
     def _reset(self) -> None:
         """Returns to the state before an answer."""
         self._head = ResponseHead()
-        self._body: list[bytes] = []
+        self._body: bytes | bytearray = b""
         self._body_account.hold(0)
-        self._received_bytes = 0  # the bytes of the body
         self._chunks: ChunkedBodyDecoder | None = None  # decodes a body in chunks
         self._until_close = False
 
@@ -59,6 +61,8 @@
             self._head.add_status_line(line)
         elif line:
             self._head.add_field(line)
+            if self._head.size_bytes > FREE_HEAD_BYTES:
+                self._charge()
         else:
             self._headers_complete()
 
@@ -67,14 +71,15 @@
             self._reset()
             return
         end = self._head.body_end()
+        if isinstance(end, int):
+            self._begin_body(end)
+            return
         if end is BodyEnd.LAST_CHUNK:
             self._chunks = ChunkedBodyDecoder(self.max_body_bytes)
-            self.expect_pieces(UNLIMITED_BYTES)
-        elif end is BodyEnd.CLOSE:
-            self._until_close = True
-            self.expect_pieces(UNLIMITED_BYTES)
         else:
-            self._begin_body(end)
+            self._until_close = True
+        self._body = bytearray()
+        self.expect_pieces(UNLIMITED_BYTES)
 
     def _begin_body(self, length: int) -> None:
         if self.begin_long_body(self._head, length):
@@ -97,29 +102,42 @@
             self._decode_chunks(self._chunks, data)
         elif self._until_close:
             self._collect(data)
-            if self._received_bytes > self.max_body_bytes:
+            if len(self._body) > self.max_body_bytes:
                 raise MalformedMessageError(MalformedReason.BODY_TOO_LONG)
         else:
             super().pieceReceived(data)
 
     def _decode_chunks(self, chunks: ChunkedBodyDecoder, data: bytes) -> None:
-        part = chunks.decode(data, UNLIMITED_LINES)
-        for piece in part.pieces:
-            self._collect(piece)
-            if self.ended:
-                return
+        part = chunks.decode(data, MAX_CHUNK_LINES_PER_TURN)
+        self._collect(b"".join(part.pieces))
+        if self.ended:
+            return
         if chunks.state is ChunkedState.COMPLETE:
             self.expect_pieces(0)
             self.return_bytes(part.unused_bytes)
             self._complete()
+        elif part.unused_bytes:
+            self.return_bytes(part.unused_bytes)
+            self.hold()
+            self.call_in_next_turn(self.release)
+
+    def call_in_next_turn(self, call: Callable[[], None]) -> None:
+        """Has the next turn of the event loop make the call, so that other connections get theirs first."""
+        raise NotImplementedError
 
     def _collect(self, data: bytes) -> None:
-        self._body.append(data)
-        self._received_bytes += len(data)
-        self._body_account.hold(self._received_bytes)
+        self._body += data
+        self._charge()
         if not self._memory.grants(self.incoming_urgency):
             self.memory_refused()
 
+    def _charge(self) -> None:
+        """Charges what is kept of the answer."""
+        held_bytes = self._head.size_bytes + self._body.__sizeof__()
+        if self._chunks is not None:
+            held_bytes += self._chunks.buffered_bytes
+        self._body_account.hold(held_bytes)
+
     def ends_body(self, reason: Failure) -> bool:
         """Returns whether this close of the connection completes a body; a reset does not."""
         return self._until_close and not self.ended and bool(reason.check(ConnectionDone))
@@ -153,7 +171,7 @@
             self._expect_more()
 
     def _complete(self) -> None:
-        head, body = self._head, b"".join(self._body)
+        head, body = self._head, bytes(self._body)
         closes = self._until_close or head.closes_connection()
         self._reset()
         self.answer_received(head, body, closes)
--- a/cloverwell/codec/http_head.py
+++ b/cloverwell/codec/http_head.py
@@ -13,6 +13,7 @@
 from cloverwell.codec.http_grammar import FIELD_LINE
 
 MAX_HEADER_LINES = 64
+FIELD_BYTES = 160  # the memory that a field takes besides its characters
 FINAL_STATUS = 200  # The answers below are interim ones, which a final one follows.
 STATUSES_WITHOUT_BODY = (204, 304)  # RFC 9112, 6.3, rule 1
 OPTIONAL_WHITESPACE = " \t"
@@ -34,15 +35,17 @@
     Attributes:
         status: the status code, or 0 before the status line.
         headers: the values of the fields by name in lower case; values of several lines are joined by commas.
+        size_bytes: the memory that the fields take.
 
     """
 
-    __slots__ = ("_is_http_1_0", "_line_count", "headers", "status")
+    __slots__ = ("_is_http_1_0", "_line_count", "headers", "size_bytes", "status")
 
     def __init__(self) -> None:
         """Start before the status line."""
         self.status = 0
         self.headers: dict[str, str] = {}
+        self.size_bytes = 0
         self._is_http_1_0 = False
         self._line_count = 0
 
@@ -69,6 +72,7 @@
             raise MalformedMessageError(MalformedReason.HEADER)
         name = match[1].decode("latin-1").lower()
         value = match[2].decode("latin-1").strip(OPTIONAL_WHITESPACE)
+        self.size_bytes += len(line) + FIELD_BYTES
         headers = self.headers
         headers[name] = f"{headers[name]}, {value}" if name in headers else value
 
--- a/cloverwell/membership/endpoint_discovery.py
+++ b/cloverwell/membership/endpoint_discovery.py
@@ -76,6 +76,7 @@
         """
         self.on_update: Callable[[EndpointUpdate | EndpointUpdateFailed], None] = lambda _update: None
         self.memory = pools.memory
+        self.call_in_next_turn = timer_wheel.call_in_next_turn
         self._reactor = reactor
         self._timer_wheel = timer_wheel
         self._settings = settings
--- a/cloverwell/membership/watch_connection.py
+++ b/cloverwell/membership/watch_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol, assert_never, cast
 
 from twisted.internet.address import IPv4Address, IPv6Address
@@ -33,6 +34,9 @@
 
     memory: MemoryBudget
 
+    def call_in_next_turn(self, call: Callable[[], None]) -> None:
+        """Make the call in the next turn of the event loop."""
+
     def is_current(self, source: WatchConnection | WatchConnector) -> bool:
         """Return whether the source is the one in use; reports of an abandoned one must be ignored."""
 
@@ -68,6 +72,10 @@
         self._answer_begun = False
         self._awaits_room = False  # whether the poll could not be written yet
 
+    def call_in_next_turn(self, call: Callable[[], None]) -> None:
+        """Have the next turn of the event loop make the call."""
+        self._observer.call_in_next_turn(call)
+
     def memory_refused(self) -> None:
         """Read on: without the endpoint list no request can be served."""
 
--- a/lab/memory/crowd.py
+++ b/lab/memory/crowd.py
@@ -23,6 +23,7 @@
 UNREAD_VALUES = 30
 UNREAD_VALUE_BYTES = 60_000
 LONG_VALUE_BYTES = 4_000_000
+LARGEST_CHUNKED_BYTES = 1024 * 1024  # the longest value in chunks that a proxy accepts
 SLOW_READ_BYTES_PER_S = 20_000
 SLOW_READ_INTERVAL_S = 0.1
 SMALL_RECEIVE_BUFFER = 4096
@@ -166,6 +167,18 @@
     await _send_again_and_again(stream, lambda: write * FLOOD_COMMANDS)
 
 
+async def tiny_chunks(stream: Stream) -> None:
+    """Ask for values that the origin sends in chunks of two bytes, one after the other."""
+    while True:
+        number = next(_numbers)
+        stream.writer.write(_read(f"miss-size{LARGEST_CHUNKED_BYTES}-chunk2-{number}"))
+        head = await stream.reader.readline()
+        if not head:
+            return
+        if head.startswith(b"VA "):
+            await stream.reader.readexactly(LARGEST_CHUNKED_BYTES + 2)
+
+
 async def silent(stream: Stream) -> None:
     """Say nothing."""
     await stream.until_answered()
@@ -185,6 +198,7 @@
     "unknown_commands": unknown_commands,
     "new_names": new_names,
     "unsound_writes": unsound_writes,
+    "tiny_chunks": tiny_chunks,
     "silent": silent,
 }
 
--- a/lab/memory/neighbours.py
+++ b/lab/memory/neighbours.py
@@ -1,5 +1,7 @@
 """Cache nodes and an origin that serve values of any size: the key `size60000-1` has 60,000 bytes.
 
+Keys that begin with `miss` are served by the origin alone, in chunks of two bytes if `chunk2` stands in them.
+
 They run in processes of their own, `python -m lab.memory.neighbours NODES [origin]`, so that what one of them
 does for a crowd delays neither the others nor the usual clients.
 """
@@ -15,6 +17,7 @@
 from lab.loopback.nodes import StandIn, read_head
 
 SIZE = re.compile(r"size(\d+)")
+CHUNK = re.compile(r"chunk(\d+)")
 SHORT_VALUE = b"value"
 
 
@@ -29,6 +32,13 @@
     return b"v" * size_bytes
 
 
+@cache
+def chunked(value: bytes, chunk_bytes: int) -> bytes:
+    """Return a value in chunks of so many bytes."""
+    chunks = [value[start : start + chunk_bytes] for start in range(0, len(value), chunk_bytes)]
+    return b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks) + b"0\r\n\r\n"
+
+
 class SizedCacheNode(StandIn):
     """Answers each read with its key's value; keys that begin with `hang` are never answered."""
 
@@ -44,6 +54,9 @@
                 await reader.read(1)
                 return
             opaque = next(word for word in words if word.startswith("O"))
+            if words[1].startswith("miss"):
+                writer.write(f"EN {opaque}\r\n".encode())
+                continue
             value = value_of(words[1])
             writer.write(f"VA {len(value)} {opaque}\r\n".encode() + value + b"\r\n")
             await writer.drain()
@@ -62,9 +75,11 @@
             method, target, headers = await read_head(reader)
             await reader.readexactly(int(headers.get("content-length", 0)))
             body = b"receipt" if method == "PUT" else value_of(target)
-            head = (
-                f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\nRequest-Id: {headers['request-id']}\r\n"
-            )
+            framing = f"Content-Length: {len(body)}"
+            if chunk := CHUNK.search(target):
+                body = chunked(body, int(chunk[1]))
+                framing = "Transfer-Encoding: chunked"
+            head = f"HTTP/1.1 200 OK\r\n{framing}\r\nRequest-Id: {headers['request-id']}\r\n"
             writer.write(head.encode() + b"\r\n" + body)
             await writer.drain()
 
--- a/tests/http_receiver.py
+++ b/tests/http_receiver.py
@@ -17,8 +17,9 @@
 class Receiver(HttpReceiver):
     """Keeps the bodies of the answers, and whether something malformed came."""
 
-    def __init__(self):
-        super().__init__()
+    def __init__(self, memory=None):
+        super().__init__(memory)
+        self.waiting_calls = []  # what it has the next turn of the event loop do
         self.transport = StringTransport()
         self.bodies = []
         self.is_malformed = False
@@ -35,6 +36,20 @@
     def memory_refused(self):
         raise AssertionError("there is no limit")
 
+    def call_in_next_turn(self, call):
+        self.waiting_calls.append(call)
+
+    def take_turn(self):
+        """Does what waits for the next turn; returns whether there was anything."""
+        calls, self.waiting_calls = self.waiting_calls, []
+        for call in calls:
+            call()
+        return bool(calls)
+
+    def take_all_turns(self):
+        while self.take_turn():
+            pass
+
 
 def pieces(message, splits):
     """Returns the message, split at these places, each modulo its length."""
@@ -47,6 +62,7 @@
     receiver = Receiver()
     for piece in pieces(message, splits):
         receiver.dataReceived(piece)
+        receiver.take_all_turns()
         if receiver.bodies:
             return Verdict.COMPLETE, receiver.bodies[0]
     if end is not None:
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -25,6 +25,7 @@
     "open_commands": {"open_commands": 300},
     "floods": {"flood": 20},
     "silence": {"silent": 600},
+    "tiny_chunks": {"tiny_chunks": 4},
     "mixed": {
         "slow_write": 100,
         "stopped_write": 100,
