Decode chunks with fewer calls, and watch partial answers as before

Change: one loop reads sizes and whole chunks without a second match; the decoder returns its pieces alone; release() takes a completed answer off the watch by itself.

--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -93,9 +93,6 @@
     def dataReceived(self, data: bytes) -> None:
         """Parses data, and lets the pool watch an answer that has begun, in case it never ends."""
         super().dataReceived(data)
-        self._watch_partial_answer()
-
-    def _watch_partial_answer(self) -> None:
         # A long value is not watched here, since it has a time limit of its own.
         if not self.ended and self.stream is None and self.is_mid_message:
             self._pool.partial_answers[self] = 0
@@ -165,7 +162,8 @@
         if self._held:
             self.last_stream_data_ms = self._pool.now()
         super().release()
-        self._watch_partial_answer()
+        if not self.is_mid_message:  # The answer was completed by what had been read before.
+            self._pool.partial_answers.pop(self, None)
 
     def stream_awaited_since_ms(self, now: float) -> float:
         """Returns since when the next piece of a long value is due; `now` while it waits for its client."""
--- a/cloverwell/codec/chunked_body.py
+++ b/cloverwell/codec/chunked_body.py
@@ -11,11 +11,17 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from enum import Enum, auto
 
 from cloverwell.codec.errors import MalformedMessageError, MalformedReason
-from cloverwell.codec.http_grammar import CRLF, FIELD_LINE, OPTIONAL_WHITESPACE, QUOTED_STRING, TOKEN
+from cloverwell.codec.http_grammar import (
+    CRLF,
+    CRLF_BYTES,
+    FIELD_LINE,
+    OPTIONAL_WHITESPACE,
+    QUOTED_STRING,
+    TOKEN,
+)
 
 MAX_FRAMING_LINE_BYTES = 2048  # of a size with its extensions, or of a trailer field
 MAX_TRAILER_LINES = 64
@@ -39,24 +45,26 @@
     COMPLETE = auto()  # The body has ended.
 
 
-@dataclass(slots=True, frozen=True)
-class DecodedPart:
-    """What was decoded of some bytes: the data of chunks, and the number of bytes that were not used."""
-
-    pieces: list[bytes]
-    unused_bytes: int
-
-
 class ChunkedBodyDecoder:
     """Decodes one body, however its bytes are split.
 
     Attributes:
         state: the part of the body that comes next.
         body_bytes: the data of all chunks so far, also of the one that is arriving.
+        partial: the beginning of a line, or of the CRLF behind a chunk, that is not complete yet.
+        unused_bytes: how many of the last bytes that were passed have not been decoded.
 
     """
 
-    __slots__ = ("_data_bytes_left", "_max_body_bytes", "_partial", "_trailer_lines", "body_bytes", "state")
+    __slots__ = (
+        "_data_bytes_left",
+        "_max_body_bytes",
+        "_trailer_lines",
+        "body_bytes",
+        "partial",
+        "state",
+        "unused_bytes",
+    )
 
     def __init__(self, max_body_bytes: int) -> None:
         """Start before the first chunk; a body whose chunks hold more than `max_body_bytes` is malformed."""
@@ -64,26 +72,23 @@
         self.body_bytes = 0
         self._max_body_bytes = max_body_bytes
         self._data_bytes_left = 0  # of the chunk that is arriving
-        self._partial = b""  # the beginning of a line, or of the CRLF behind a chunk
+        self.partial = b""
+        self.unused_bytes = 0
         self._trailer_lines = 0
 
-    @property
-    def buffered_bytes(self) -> int:
-        """The number of bytes that are kept of an incomplete line."""
-        return len(self._partial)
-
-    def decode(self, data: bytes, max_lines: int) -> DecodedPart:
-        """Decode the next bytes of the body, but no more than `max_lines` sizes and trailer fields.
+    def decode(self, data: bytes, max_lines: int) -> list[bytes]:
+        """Return the data of chunks in the next bytes of the body.
 
-        The unused bytes are the last ones of `data`. They follow the body, or have to be passed again.
+        No more than `max_lines` sizes and trailer fields are decoded. The last `unused_bytes` of `data`
+        follow the body, or have to be passed again.
 
         Raises:
             MalformedMessageError: the bytes do not follow the grammar, or the body is too long.
 
         """
-        if self._partial:
-            data = self._partial + data
-            self._partial = b""
+        if self.partial:
+            data = self.partial + data
+            self.partial = b""
         position, end = 0, len(data)
         pieces: list[bytes] = []
         while position < end and self.state is not ChunkedState.COMPLETE:
@@ -98,44 +103,40 @@
             else:
                 position = self._read_trailer_line(data, position)
                 max_lines -= 1
-        return DecodedPart(pieces, end - position)
+        self.unused_bytes = end - position
+        return pieces
 
     def _read_chunks(
         self, data: bytes, position: int, pieces: list[bytes], max_lines: int
     ) -> tuple[int, int]:
-        """Read the chunks that are complete and well-formed, and then the next size if there is one.
+        """Read as many chunks as are complete, and the size of the next one.
 
         A value may come in a great many chunks, so these are read in one loop. Returns the position behind
         what was read, and how many lines may still be decoded.
         """
-        most_bytes = self._max_body_bytes - self.body_bytes
+        bytes_left = self._max_body_bytes - self.body_bytes
         while max_lines and (line := _SIZE_LINE.match(data, position)):
+            max_lines -= 1
             size = int(line[1], 16)
-            start = line.end()
-            end = start + size
-            if not 0 < size <= most_bytes or data[end : end + len(CRLF)] != CRLF:
+            bytes_left -= size
+            position = line.end()
+            end = position + size
+            if not size:
+                self.state = ChunkedState.TRAILER
                 break
-            pieces.append(data[start:end])
-            most_bytes -= size
-            max_lines -= 1
-            position = end + len(CRLF)
-        self.body_bytes = self._max_body_bytes - most_bytes
-        if not max_lines or position == len(data):
-            return position, max_lines
-        return self._read_size(data, position), max_lines - 1
-
-    def _read_size(self, data: bytes, start: int) -> int:
-        """Read a size line, and return the position behind it."""
-        line = _SIZE_LINE.match(data, start)
-        if line is None:
-            return self._keep_partial_line(data, start, MalformedReason.CHUNK_SIZE)
-        size = int(line[1], 16)
-        self.body_bytes += size
-        if self.body_bytes > self._max_body_bytes:
-            raise MalformedMessageError(MalformedReason.BODY_TOO_LONG)
-        self._data_bytes_left = size
-        self.state = ChunkedState.DATA if size else ChunkedState.TRAILER
-        return line.end()
+            if bytes_left < 0:
+                raise MalformedMessageError(MalformedReason.BODY_TOO_LONG)
+            if data[end : end + CRLF_BYTES] != CRLF:
+                self.state = ChunkedState.DATA
+                self._data_bytes_left = size
+                break
+            pieces.append(data[position:end])
+            position = end + CRLF_BYTES
+        else:
+            if max_lines and position < len(data):
+                position = self._keep_partial_line(data, position, MalformedReason.CHUNK_SIZE)
+        self.body_bytes = self._max_body_bytes - bytes_left
+        return position, max_lines
 
     def _read_data(self, data: bytes, start: int, pieces: list[bytes]) -> int:
         """Read what there is of the data of a chunk, and return the position behind it."""
@@ -148,11 +149,11 @@
 
     def _read_data_end(self, data: bytes, start: int) -> int:
         """Read the CRLF behind the data of a chunk, and return the position behind it."""
-        line_end = data[start : start + len(CRLF)]
+        line_end = data[start : start + CRLF_BYTES]
         if line_end == CRLF:
             self.state = ChunkedState.SIZE
         elif CRLF.startswith(line_end):
-            self._partial = line_end
+            self.partial = line_end
         else:
             raise MalformedMessageError(MalformedReason.CHUNK_END)
         return start + len(line_end)
@@ -164,11 +165,11 @@
             return self._keep_partial_line(data, start, MalformedReason.TRAILER)
         if line_end == start:
             self.state = ChunkedState.COMPLETE
-            return start + len(CRLF)
+            return start + CRLF_BYTES
         self._trailer_lines += 1
         if self._trailer_lines > MAX_TRAILER_LINES or not FIELD_LINE.fullmatch(data, start, line_end):
             raise MalformedMessageError(MalformedReason.TRAILER)
-        return line_end + len(CRLF)
+        return line_end + CRLF_BYTES
 
     def _keep_partial_line(self, data: bytes, start: int, reason: MalformedReason) -> int:
         """Keep an incomplete line for later, and return the position behind it.
@@ -181,5 +182,5 @@
             raise MalformedMessageError(reason)
         if len(data) - start > MAX_FRAMING_LINE_BYTES:
             raise MalformedMessageError(MalformedReason.LINE_TOO_LONG)
-        self._partial = data[start:]
+        self.partial = data[start:]
         return len(data)
--- a/cloverwell/codec/http.py
+++ b/cloverwell/codec/http.py
@@ -71,13 +71,13 @@
             self._reset()
             return
         end = self._head.body_end()
-        if isinstance(end, int):
-            self._begin_body(end)
-            return
         if end is BodyEnd.LAST_CHUNK:
             self._chunks = ChunkedBodyDecoder(self.max_body_bytes)
-        else:
+        elif end is BodyEnd.CLOSE:
             self._until_close = True
+        else:
+            self._begin_body(end)
+            return
         self._body = bytearray()
         self.expect_pieces(UNLIMITED_BYTES)
 
@@ -108,16 +108,14 @@
             super().pieceReceived(data)
 
     def _decode_chunks(self, chunks: ChunkedBodyDecoder, data: bytes) -> None:
-        part = chunks.decode(data, MAX_CHUNK_LINES_PER_TURN)
-        self._collect(b"".join(part.pieces))
+        self._collect(b"".join(chunks.decode(data, MAX_CHUNK_LINES_PER_TURN)))
         if self.ended:
             return
         if chunks.state is ChunkedState.COMPLETE:
-            self.expect_pieces(0)
-            self.return_bytes(part.unused_bytes)
+            self.end_pieces(chunks.unused_bytes)
             self._complete()
-        elif part.unused_bytes:
-            self.return_bytes(part.unused_bytes)
+        elif chunks.unused_bytes:
+            self.return_bytes(chunks.unused_bytes)
             self.hold()
             self.call_in_next_turn(self.release)
 
@@ -134,8 +132,8 @@
     def _charge(self) -> None:
         """Charges what is kept of the answer."""
         held_bytes = self._head.size_bytes + self._body.__sizeof__()
-        if self._chunks is not None:
-            held_bytes += self._chunks.buffered_bytes
+        if self._chunks is not None and self._chunks.partial:
+            held_bytes += len(self._chunks.partial)
         self._body_account.hold(held_bytes)
 
     def ends_body(self, reason: Failure) -> bool:
--- a/cloverwell/codec/http_grammar.py
+++ b/cloverwell/codec/http_grammar.py
@@ -3,6 +3,7 @@
 import re
 
 CRLF = b"\r\n"
+CRLF_BYTES = len(CRLF)
 OPTIONAL_WHITESPACE = rb"[ \t]*"  # OWS and BWS; RFC 9110, 5.6.3
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"  # RFC 9110, 5.6.2
 QUOTED_STRING = rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t \x21-\x7e\x80-\xff])*"'  # RFC 9110, 5.6.4
--- a/cloverwell/codec/http_head.py
+++ b/cloverwell/codec/http_head.py
@@ -72,7 +72,7 @@
             raise MalformedMessageError(MalformedReason.HEADER)
         name = match[1].decode("latin-1").lower()
         value = match[2].decode("latin-1").strip(OPTIONAL_WHITESPACE)
-        self.size_bytes += len(line) + FIELD_BYTES
+        self.size_bytes += match.endpos + FIELD_BYTES  # `endpos` is the length of the line.
         headers = self.headers
         headers[name] = f"{headers[name]}, {value}" if name in headers else value
 
--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -220,6 +220,12 @@
         """Makes the next message a long value, which is passed on by `pieceReceived` as it arrives."""
         self._streamed_bytes_left = size_bytes
 
+    def end_pieces(self, unused_bytes: int) -> None:
+        """Ends a long value; the last `unused_bytes` of the piece that is being handled follow it."""
+        self._streamed_bytes_left = 0
+        self._returned_bytes = unused_bytes
+        self.unparsed_bytes += unused_bytes
+
     def return_bytes(self, count: int) -> None:
         """Gives the last `count` bytes of the piece that is being handled back, to be passed on again."""
         self._returned_bytes = count
