Refuse lines of cache nodes with two ids, and check dropped values' ends

Callers saw: nothing known; a node's line with two ids, or two receipts, would be served, and behind a dropped value of a wrong length the next answer is read from the wrong place. Cause: as with chunks, what was looked for was found and what stood beside it passed over. Change: one id and one receipt in front of the load report; DiscardedValue keeps the last two bytes of a value that is dropped, for nodes and for clients' rejected writes. Why this works: a line that contradicts itself, or a value whose end is not where its length says, is never the base of what is read next.

--- a/cloverwell/back/cache_connection.py
+++ b/cloverwell/back/cache_connection.py
@@ -5,12 +5,18 @@
 
 from __future__ import annotations
 
+from itertools import takewhile
+
 from cloverwell.back.node_connection import NodeConnection
+from cloverwell.back.receipt import is_receipt
+from cloverwell.codec.discarded_value import DiscardedValue
 from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.facade import AttemptOutcome
 from cloverwell.request import Attempt
 from cloverwell.streamed_value import MAX_STREAMED_VALUE_BYTES, STREAMING_THRESHOLD_BYTES
 
+# The first bytes of flags.
+REQUEST_ID, RECEIPT, LOAD_REPORT = b"OcL"
 MAX_QUOTED_BYTES = 60  # of an unknown line, in the log
 
 
@@ -43,13 +49,10 @@
                     self.expect_value(length + len(self.delimiter))
                 else:
                     self.expect_pieces(length + len(self.delimiter))
-                    self.refuse_value()
+                    self.refuse_value(DiscardedValue())
             case [b"HD"]:
                 self._check(words[1:], write=True)
-                receipts = [word[1:] for word in words[1:] if word.startswith(b"c")]
-                if not receipts:
-                    raise MalformedMessageError(MalformedReason.NO_RECEIPT)
-                self.finish_attempt(AttemptOutcome.SERVED, receipts[0])
+                self.finish_attempt(AttemptOutcome.SERVED, _receipt(words[1:]))
             case [b"EN"]:
                 self._check(words[1:])
                 self.finish_attempt(AttemptOutcome.MISS)
@@ -81,7 +84,31 @@
         The answer of another request must not reach this one, and a receipt must not be served as a value.
         """
         request = self.attempts[0].request
-        if b"O" + request.id.encode() not in flags:
+        id_flag = b"O" + request.id.encode()
+        has_id = False
+        for flag in flags:
+            if flag[0] == LOAD_REPORT:
+                break
+            if flag == id_flag:
+                has_id = True
+            elif flag[0] == REQUEST_ID:
+                has_id = False
+                break
+        if not has_id:
             raise MalformedMessageError(MalformedReason.FOREIGN_ID)
         if write not in (None, request.is_write):
             raise MalformedMessageError(MalformedReason.WRONG_KIND)
+
+
+def _receipt(flags: list[bytes]) -> bytes:
+    """Return the one receipt in the flags, behind which a load report may stand that can't be read.
+
+    Raises:
+        MalformedMessageError: there is none or more than one, or it can't be passed on.
+
+    """
+    own_flags = takewhile(lambda flag: flag[0] != LOAD_REPORT, flags)
+    receipts = [flag[1:] for flag in own_flags if flag[0] == RECEIPT]
+    if len(receipts) != 1 or not is_receipt(receipts[0]):
+        raise MalformedMessageError(MalformedReason.NO_RECEIPT)
+    return receipts[0]
--- a/cloverwell/back/node_connection.py
+++ b/cloverwell/back/node_connection.py
@@ -13,7 +13,8 @@
 
 from cloverwell.back.attempt_writer import LEAST_READ_BYTES, AttemptWriter
 from cloverwell.back.connection_pool import ConnectionPool
-from cloverwell.codec.errors import MalformedMessageError
+from cloverwell.codec.discarded_value import DiscardedValue
+from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.connections.close_reason import NodeCloseReason
 from cloverwell.connections.connection_loss import ConnectionLoss
 from cloverwell.connections.metrics import ConnectionEvent
@@ -38,7 +39,7 @@
         self.stream: StreamedValue | None = None  # the long value that is arriving, if any
         # The time at which the last piece of it arrived, or from which the next one has been waited for.
         self.last_stream_data_ms = 0.0
-        self._discards_value = False  # whether the value that is arriving has no memory, and is discarded
+        self._discarded: DiscardedValue | None = None  # the value that is arriving, if it has no memory
         self._close_after_answer = False  # whether it is closed after the answer that is arriving
 
     def connectionMade(self) -> None:
@@ -49,7 +50,7 @@
     @property
     def is_free(self) -> bool:
         """True if the connection is open and carries nothing, so that an attempt may be written to it."""
-        return not (self.ended or self.attempts or self._partial_write or self.stream or self._discards_value)
+        return not (self.ended or self.attempts or self._partial_write or self.stream or self._discarded)
 
     def is_settled(self, now: float) -> bool:
         """Returns whether any late data after the last answer must have arrived by now.
@@ -116,13 +117,12 @@
     def memory_refused(self) -> None:
         """Discards the rest of a value; the beginning of a line is short, and read in any case."""
         if self._awaited_bytes and self.attempts:
-            self.discard_value()
-            self.refuse_value()
+            self.refuse_value(self.discard_value())
 
-    def refuse_value(self) -> None:
-        """Ends the oldest attempt, whose value is discarded as it arrives."""
+    def refuse_value(self, discarded: DiscardedValue) -> None:
+        """Ends the oldest attempt, whose value is discarded as it arrives; only its line end is checked."""
         attempt = self._remove_answered_attempt()
-        self._discards_value = True
+        self._discarded = discarded
         attempt.end(AttemptOutcome.SERVED, NoMemory())
 
     # A long value ---------------------------------------------------------------------------------
@@ -148,15 +148,23 @@
 
     def pieceReceived(self, data: bytes) -> None:
         """Passes on a piece of a long value, or drops it."""
-        if self._discards_value:
-            if not self._streamed_bytes_left:
-                self._discards_value = False
-                self._answer_complete()
+        if self._discarded is not None:
+            self._discard(self._discarded, data)
             return
         self.last_stream_data_ms = self._pool.now()
         assert self.stream is not None  # Pieces are expected only while a long value arrives.
         self.stream.receive(data)
 
+    def _discard(self, discarded: DiscardedValue, data: bytes) -> None:
+        """Drops a piece of a value, and frees the connection behind the last one."""
+        discarded.receive(data)
+        if self._streamed_bytes_left:
+            return
+        if not discarded.has_line_end:
+            raise MalformedMessageError(MalformedReason.VALUE_END)
+        self._discarded = None
+        self._answer_complete()
+
     def release(self) -> None:
         """Continues reading; while a long value waited for its client, the node could not give any of it."""
         if self._held:
--- a/cloverwell/back/origin_connection.py
+++ b/cloverwell/back/origin_connection.py
@@ -5,12 +5,12 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Callable
 from urllib.parse import quote
 
 from cloverwell.back.node_connection import NodeConnection
 from cloverwell.back.pool import Pool
+from cloverwell.back.receipt import is_receipt
 from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.codec.http import HttpReceiver, encode_request
 from cloverwell.codec.http_head import ResponseHead
@@ -20,8 +20,6 @@
 from cloverwell.request import Attempt, NoMemory
 from cloverwell.streamed_value import MAX_STREAMED_VALUE_BYTES, STREAMING_THRESHOLD_BYTES
 
-RECEIPT = re.compile(rb"[!-~]{1,250}")  # A receipt is sent to the client as a flag: one word without spaces.
-
 
 class OriginConnection(HttpReceiver, NodeConnection):
     """A connection to the origin, which carries one attempt at a time."""
@@ -94,7 +92,7 @@
 
     def _outcome(self, status: int, headers: dict[str, str], body: bytes) -> AttemptOutcome:
         if status == 200:
-            if self.attempts[0].request.is_write and not RECEIPT.fullmatch(body):
+            if self.attempts[0].request.is_write and not is_receipt(body):
                 # Such a body would make the answer to the client invalid, or be read as a second flag.
                 raise MalformedMessageError(MalformedReason.NOT_A_RECEIPT)
             return AttemptOutcome.SERVED
--- a/cloverwell/codec/byte_queue.py
+++ b/cloverwell/codec/byte_queue.py
@@ -43,6 +43,10 @@
         with memoryview(self._data) as view:
             return bytes(view[:count])
 
+    def last(self, count: int) -> bytes:
+        """Return at most `count` of the newest bytes, and leave them in the queue."""
+        return bytes(self._data[-count:])
+
     def read(self, count: int) -> bytes:
         """Remove and return at most `count` of the oldest bytes."""
         data = self.peek(count)
--- a/cloverwell/codec/errors.py
+++ b/cloverwell/codec/errors.py
@@ -22,7 +22,7 @@
     FOREIGN_ID = "an answer with the id of another request"
     # Answers of cache nodes.
     UNKNOWN_LINE = "unknown line"
-    NO_RECEIPT = "an HD line without a receipt"
+    NO_RECEIPT = "an HD line without one receipt"
     WRONG_KIND = "a value for a write, or a receipt for a read"
     # Answers over HTTP.
     STATUS_LINE = "malformed status line"
--- a/cloverwell/codec/lines.py
+++ b/cloverwell/codec/lines.py
@@ -10,6 +10,7 @@
 
 from cloverwell.codec.byte_queue import ByteQueue
 from cloverwell.codec.delivery import Delivery
+from cloverwell.codec.discarded_value import DiscardedValue
 from cloverwell.codec.errors import MalformedMessageError, MalformedReason
 from cloverwell.codec.line_allowance import unlimited_allowance
 from cloverwell.codec.socket_state import unacknowledged_bytes
@@ -151,11 +152,13 @@
         """
         raise NotImplementedError
 
-    def discard_value(self) -> None:
+    def discard_value(self) -> DiscardedValue:
         """Drops what has come of the incomplete value; the rest of it goes to `pieceReceived` as it comes."""
+        discarded = DiscardedValue(self._incoming.last(len(self.delimiter)))
         self._streamed_bytes_left = self._awaited_bytes - len(self._incoming)
         self._awaited_bytes = 0
         self._incoming.clear()
+        return discarded
 
     def parse(self) -> None:
         """Passes on the complete messages in the queue, until there is none or the subclass calls `hold`."""
--- a/cloverwell/front/command_receiver.py
+++ b/cloverwell/front/command_receiver.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 
+from cloverwell.codec.discarded_value import DiscardedValue
 from cloverwell.codec.errors import MalformedMessageError
 from cloverwell.codec.lines import MAX_LINE_BYTES, MAX_WRITE_BYTES, BufferedLineReceiver
 from cloverwell.codec.meta import CommandError, CommandFields
@@ -12,6 +13,8 @@
 from cloverwell.loop_work import LoopWork
 from cloverwell.memory_budget import MemoryBudget, MemoryUse
 
+BAD_VALUE = "bad data chunk"  # The value is not followed by its line end.
+
 
 class CommandReceiver(BufferedLineReceiver):
     """Calls `request_received` for each complete request, and `probe_received` for each `mn`.
@@ -24,6 +27,7 @@
         "_arrival",
         "_classes",
         "_discard_reason",
+        "_discarded",
         "_pending_write",
         "_tenants",
         "_work",
@@ -50,6 +54,7 @@
         self._tenants = tenants
         self._arrival = CommandArrival()
         self._pending_write: CommandFields | None = None  # a write whose value has not come yet
+        self._discarded = DiscardedValue()  # the value of a rejected write, while it arrives
         self._discard_reason = ""  # why a command is rejected once its value has been discarded
 
     def request_received(self, fields: CommandFields, write: bool, value: bytes) -> None:
@@ -107,6 +112,7 @@
         except CommandError as error:
             # The length is known, so the value is discarded and parsing goes on after it.
             self._discard_reason = str(error)
+            self._discarded = DiscardedValue()
             self.expect_pieces(value_bytes)
             return
         self.expect_value(value_bytes)
@@ -117,7 +123,7 @@
         if fields is None:
             self.reject_half_line()
         else:
-            self.discard_value()
+            self._discarded = self.discard_value()
             self.reject_write(fields)
 
     def reject_half_line(self) -> None:
@@ -128,10 +134,14 @@
         """Handle a write that there is no memory for; its value is discarded."""
         raise NotImplementedError
 
-    def pieceReceived(self, _data: bytes) -> None:
+    def pieceReceived(self, data: bytes) -> None:
         """Drop a piece of a value, and reject a malformed command behind the last one."""
+        self._discarded.receive(data)
         if self._streamed_bytes_left:
             return
+        if not self._discarded.has_line_end:
+            self.reject_and_close(BAD_VALUE)
+            return
         if self._discard_reason:
             reason, self._discard_reason = self._discard_reason, ""
             self.reject_command(reason)
@@ -142,7 +152,7 @@
         fields, self._pending_write = self._pending_write, None
         assert fields is not None
         if not data.endswith(b"\r\n"):
-            self.reject_and_close("bad data chunk")
+            self.reject_and_close(BAD_VALUE)
             return
         self.request_received(fields, True, data[:-2])
         self._arrival.record_command_complete()
