Send malformed and rare right answers in the soak

Cause: the soak's origin and nodes sent one form of answer, so that its oracle, which compares values, could not see a decoder that serves wrong ones. Change: lab/loopback/answer_forms.py draws a form for each answer, malformed ones that can be told and rare right ones; the defect chunk-end-unchecked.

--- a/lab/loopback/nodes.py
+++ b/lab/loopback/nodes.py
@@ -17,6 +17,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from lab.invariant_checker import InvariantChecker
+from lab.loopback.answer_forms import AnswerForms, FramedAnswer
 from lab.loopback.event_time import EventTime
 from lab.loopback.requests import receipt_for, value_of
 from lab.member_row import MemberRow
@@ -26,6 +27,7 @@
 CLOSE_CHECK_S = 0.05
 PIECE_BYTES = 7
 PIECE_PAUSE_S = 0.004
+USUAL_FORMS = AnswerForms(0, malformed_share=0.0, rare_share=0.0)
 MAX_PIECES = 20  # then the rest in one
 
 
@@ -129,9 +131,15 @@
 class CacheNode(StandIn):
     """Reads alone come here: writes are the origin's."""
 
-    def __init__(self, name: str, checker: InvariantChecker, event_time: EventTime) -> None:
-        """Report each attempt to the checker; `arrived` is called with each request's name."""
+    def __init__(
+        self, name: str, checker: InvariantChecker, event_time: EventTime, forms: AnswerForms | None = None
+    ) -> None:
+        """Report each attempt to the checker; `arrived` is called with each request's name.
+
+        `forms` draws the forms of the answers, which are usual ones without it.
+        """
         super().__init__(event_time)
+        self._forms = forms or USUAL_FORMS
         self.name = name
         self.mode = NodeMode.NORMAL
         self.attempts = 0
@@ -178,12 +186,13 @@
             await asyncio.sleep(LATE_S)
         if key.startswith("miss"):
             self._checker.never_ran(name)
-            answer = f"EN O{name}\r\n".encode()
+            answer = FramedAnswer(f"EN O{name}\r\n".encode())
         else:
-            value = value_of(key, name)
-            answer = b"VA %d O%s\r\n%s\r\n" % (len(value), name.encode(), value)
+            answer = self._forms.value(value_of(key, name), name)
         self._checker.settled(name)
-        await _write_in_mode(writer, answer, self.mode)
+        await _write_in_mode(writer, answer.data, self.mode)
+        if answer.is_malformed:
+            await asyncio.Event().wait()  # Nothing more comes on this connection.
 
 
 class Origin(StandIn):
@@ -191,9 +200,12 @@
 
     name = "origin"
 
-    def __init__(self, checker: InvariantChecker, event_time: EventTime) -> None:
-        """Report each attempt to the checker."""
+    def __init__(
+        self, checker: InvariantChecker, event_time: EventTime, forms: AnswerForms | None = None
+    ) -> None:
+        """Report each attempt to the checker; `forms` draws the forms of the answers, else all are usual."""
         super().__init__(event_time)
+        self._forms = forms or USUAL_FORMS
         self.mode = NodeMode.NORMAL
         self._checker = checker
 
@@ -214,9 +226,13 @@
             if self.mode is NodeMode.LATE:
                 await asyncio.sleep(LATE_S)
             body = receipt_for(name) if method == "PUT" else value_of(target[1:], name)
-            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\nRequest-Id: {name}\r\n\r\n"
+            answer = self._forms.http(body, name)
             self._checker.settled(name)
-            await _write_in_mode(writer, head.encode() + body, self.mode)
+            await _write_in_mode(writer, answer.data, self.mode)
+            if answer.is_malformed:
+                await _until_closed(reader)
+            if answer.is_malformed or answer.closes:
+                return
 
 
 class Discovery(StandIn):
--- a/lab/soak/defects.py
+++ b/lab/soak/defects.py
@@ -66,9 +66,23 @@
     MemoryBudget.resize = ignore  # type: ignore
 
 
+def put_in_chunk_end_unchecked() -> None:
+    """Whatever stands behind the data of a chunk is passed over, up to the end of its line."""
+    from cloverwell.codec.chunked_body import ChunkedBodyDecoder, ChunkedState
+    from cloverwell.codec.http_grammar import CRLF
+
+    def skip_line(decoder: ChunkedBodyDecoder, data: bytes, start: int) -> int:
+        """Go on behind the next line end."""
+        decoder.state = ChunkedState.SIZE
+        return data.find(CRLF, start) + len(CRLF)
+
+    ChunkedBodyDecoder._read_data_end = skip_line  # type: ignore # noqa: SLF001
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "drain-without-end": put_in_drain_without_end,
     "flush-past-kill": put_in_flush_past_the_kill,
     "attempt-after-leave": put_in_attempt_after_leave,
+    "chunk-end-unchecked": put_in_chunk_end_unchecked,
     "memory-without-bound": put_in_memory_without_bound,
 }
--- a/lab/soak/plan.py
+++ b/lab/soak/plan.py
@@ -65,6 +65,7 @@
     crowd: bool = False
     hostile: dict[str, int] = msgspec.field(default_factory=dict)  # the number of each kind, at each proxy
     memory_mb: float = MEMORY_MB
+    answer_forms: bool = True  # whether nodes and the origin send rare right and malformed answers
     faults: list[Fault] = msgspec.field(default_factory=list)
 
     @property
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -7,6 +7,7 @@
 import time
 from pathlib import Path
 
+from lab.loopback.answer_forms import AnswerForms
 from lab.loopback.event_time import EventTime
 from lab.loopback.nodes import CacheNode, DiscoveryMode, NodeMode, Origin
 from lab.member_row import IN_SERVICE, MemberRow
@@ -34,8 +35,9 @@
         self._event_time = EventTime()
         self._oracle = Oracle(self._event_time, plan.crowd or bool(plan.hostile))
         checker = self._oracle.checker
-        self._nodes = [CacheNode(f"s{number}", checker, self._event_time) for number in range(NODES)]
-        self._origin = Origin(checker, self._event_time)
+        forms = AnswerForms(plan.seed) if plan.answer_forms else None
+        self._nodes = [CacheNode(f"s{number}", checker, self._event_time, forms) for number in range(NODES)]
+        self._origin = Origin(checker, self._event_time, forms)
         self._seats: list[ProxySeat] = []
         self._hostile: list[HostileCrowd] = []
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,7 @@
     "drain-without-end": ("drain of a process", 11),
     "flush-past-kill": ("kill", 14),
     "attempt-after-leave": ("left", 11),
+    "chunk-end-unchecked": ("answered", 3),
     "memory-without-bound": ("memory", 30),
 }
 CROWD_SEEDS = (30, 58)
