Send no write to a cache node where writes go to the origin

Cause: Balancer._route asked whether an origin is listed, where the mode decides, and otherwise went on to the cache nodes' ring as for a read. Change: in the mode aside a write goes to the origin or is rejected at once as not run (refused.no_origin). What waits for a slot is sent as soon as an origin is listed again. Why this works: no path from a write leads to the ring in that mode.

--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -119,6 +119,7 @@
         for server in changed.removed:
             self._close_removed(now, server)
         self._rings.update(changed.removed_cache_servers, changed.cache_servers)
+        self._fill_origin_slots(now)  # The origin may be back, with requests that have waited for it.
 
     def _close_removed(self, now: float, server: Server) -> None:
         """Closes a removed server's idle connections now, and later those that are opening or in use now."""
@@ -169,7 +170,7 @@
             if request.queued_for_key:
                 self._wait(now, request, queue.requests.index(request))
                 return
-        if request.write and self._origins:
+        if request.write and self._settings.is_cache_aside:
             self._ask_origin(now, request)
             return
         if not self._retry_policy.permits(now, request):
@@ -188,9 +189,8 @@
             return
         # If cancels are permitted, `_check_server` cancels attempts at silent servers, and the long timeout
         # keeps busy servers from doing work twice. Otherwise half of the time is left for a retry.
-        self._send(
-            now, request, server, (request.useful_until_ms - now) / (1 if self._settings.may_cancel else 2)
-        )
+        parts = 1 if self._settings.may_cancel else 2
+        self._send(now, request, server, (request.useful_until_ms - now) / parts)
 
     def _send(self, now: float, request: RequestState, server: Server, timeout_ms: float) -> None:
         """Sends an attempt to the server, or rejects the request if no further attempt is permitted."""
@@ -303,6 +303,9 @@
 
     def _ask_origin(self, now: float, request: RequestState) -> None:
         """Sends the request to the origin, makes it wait for a slot or for another fetch, or rejects it."""
+        if self._settings.is_cache_aside and not self._origins:
+            self._reject(now, request, "no_origin")
+            return
         if not self._retry_policy.permits(now, request) or not any(
             is_in_dedup_scope(request, origin) for origin in self._origins
         ):
--- a/balancer/settings_types.py
+++ b/balancer/settings_types.py
@@ -128,6 +128,11 @@
         _check_positive("connect_timeout_ms", self.connect_timeout_ms)
         _check_not_negative("drain_close_ms", self.drain_close_ms)
 
+    @property
+    def is_cache_aside(self) -> bool:
+        """Whether writes, and reads after a miss, are sent to the origin; otherwise servers forward them."""
+        return self.origin_machine_type >= 0
+
 
 def _check_number(name: str, value: float) -> None:
     if isinstance(value, bool) or not isinstance(value, int | float):
