Keep discovery's address of the last reload under versions of the control log

Cause: ProxyControl took what a version leaves out from the file at the start. Change: it keeps the file as it is in force; a reload puts the new address in, and the start that of EDGE_DISCOVERY. Why this works: one text holds the last word on each field that a version may leave out. Open: a process that replaces another applies the version after the file.

--- a/cloverwell/control/configuration.py
+++ b/cloverwell/control/configuration.py
@@ -75,10 +75,16 @@
         raise ConfigError("settings", str(error)) from None
 
 
+def with_discovery(document: bytes, discovery: tuple[str, int]) -> bytes:
+    """Returns a proxy's own file with another address of discovery: the one that is in force now."""
+    host, port = discovery
+    return msgspec.json.encode(_read_object(document) | {"discovery": f"{host}:{port}"})
+
+
 def read_change(own_document: bytes, document: bytes, environ: Mapping[str, str]) -> ConfigurationChange:
     """Returns what a committed document changes at a proxy.
 
-    `own_document` is the file with which the proxy has started, `environ` its environment. Raises
+    `own_document` is the proxy's own file as it is in force now, `environ` its environment. Raises
     ConfigError, which names the first field that can't be read or can't be changed at run time.
     """
     started_config = parse_config(own_document, environ, reloading=True)
--- a/cloverwell/control/proxy/proxy_control.py
+++ b/cloverwell/control/proxy/proxy_control.py
@@ -14,7 +14,12 @@
 from typing import Protocol
 
 from cloverwell.config import Config, ConfigError
-from cloverwell.control.configuration import ConfigurationChange, document_digest, read_change
+from cloverwell.control.configuration import (
+    ConfigurationChange,
+    document_digest,
+    read_change,
+    with_discovery,
+)
 from cloverwell.control.entry import Entry, EntryKind
 from cloverwell.control.net.address import Address, format_address
 from cloverwell.control.net.errors import EntryRefusedError
@@ -71,7 +76,8 @@
         assert control is not None
         self._timer_wheel = timer_wheel
         self._log = log
-        self._own_document = config.document
+        # The file with which the proxy has started, with the address of discovery that is in force.
+        self._own_document = with_discovery(config.document, config.discovery)
         self._target = target
         self._environ = environ
         self._on_ready: Callable[[], None] | None = None  # None before `start`, and once it has been called
@@ -108,6 +114,10 @@
             self.follower.start()
             self._check()
 
+    def discovery_reloaded(self, discovery: tuple[str, int]) -> None:
+        """Records the address in a replaced file, which versions that do not name one keep from now on."""
+        self._own_document = with_discovery(self._own_document, discovery)
+
     def describe(self) -> str:
         """Returns the state in one line, for operators."""
         status = self.follower.status
--- a/cloverwell/proxy.py
+++ b/cloverwell/proxy.py
@@ -214,6 +214,8 @@
             return
         host, port = config.discovery
         self._log.info("reload", f"discovery is at {host}:{port}")
+        if self._control is not None:
+            self._control.discovery_reloaded(config.discovery)
         self.activate(config.discovery, self.facade.settings.peers_total)
 
     def activate(self, discovery: tuple[str, int], peers_total: int) -> None:
--- a/tests/test_control_proxy.py
+++ b/tests/test_control_proxy.py
@@ -33,7 +33,7 @@
         self.changes, self.ready_calls = [], 0
         self.timer_wheel = TimerWheel(self.reactor, 5.0, self.reactor.now_ms)
         self.timer_wheel.start()
-        config = parse_config(json.dumps(OWN_CONFIG).encode(), {})
+        config = parse_config(json.dumps(OWN_CONFIG).encode(), environ or {})
         self.control = ProxyControl(self.reactor, self.timer_wheel, self.log, config, self, environ or {})
         self.control.start(self.on_ready)
         self.node = self.reactor.attempts[0].succeed()
