Stop the clock in the tests of the stall's log line

Cause: the test's clock followed the real one, so that a pause of the test's own process of over 25 ms was a stall as well, and logged a second line. Change: the clock stands still but for the stall of 400 ms; the second test waits for the tick behind its commands by the counter that the tick resets, and not by time. The checks are the same.

--- a/tests/test_stall_log.py
+++ b/tests/test_stall_log.py
@@ -5,6 +5,7 @@
 
 def test_a_stall_is_logged_with_the_commands_and_the_client_that_sent_most_of_them(rig):
     proxy = rig()
+    proxy.stop_clock()  # A pause of the test's own process is no stall.
     conn = proxy.client()
     proxy.advance_clock(10)
     assert "stall" not in proxy.log.getvalue()
@@ -20,9 +21,12 @@
 
 def test_the_counts_of_one_stall_do_not_enter_the_next(rig):
     proxy = rig()
+    proxy.stop_clock()  # A pause of the test's own process is no stall.
     conn = proxy.client(b"mn\r\n" * 3)
     proxy.receive_until(conn, b"MN", 3)
     proxy.advance_clock(10)
+    work = proxy.service.timer_wheel.work
+    proxy.run_until(lambda: not work.commands, "no tick came behind the commands")
     proxy.stall(400.0)
     proxy.run_iterations()
     (line,) = [line for line in proxy.log.getvalue().splitlines() if " warn stall: " in line]
