--- a/lab/soak/oracle.py
+++ b/lab/soak/oracle.py
@@ -141,7 +141,9 @@
                 self.counts["died"] += 1
             elif not self._may_have_crossed(sent, ended_s, answers):
                 open_s = ended_s - sent.sent_s
-                why = f"{sent.request.name} got no answer: {how} {open_s:.3f} s behind it"
+                forwarded = bool(self.checker.histories[sent.request.name].attempts)
+                state = "forwarded" if forwarded else "not forwarded"
+                why = f"{sent.request.name} ({state}) got no answer: {how} {open_s:.3f} s behind it"
                 self.breach("lost", story.proxy, why, story)
             else:
                 self.counts["crossed"] += 1
