Bound a chunk's size line and a trailer field under any split

Cause: the decoder bounded a line only where it kept a part of it, so that a line of over 2 KiB was read if it came in one piece, and refused if it came in two. Change: the bound, 2,048 bytes with the line end, holds for whole lines as well. Nothing that was refused before is read now, and the verdict no longer depends on the split.

--- a/cloverwell/codec/chunked_body.py
+++ b/cloverwell/codec/chunked_body.py
@@ -23,7 +23,7 @@
     TOKEN,
 )
 
-MAX_FRAMING_LINE_BYTES = 2048  # of a size with its extensions, or of a trailer field
+MAX_FRAMING_LINE_BYTES = 2048  # of a size with its extensions, or of a trailer field, with the line end
 MAX_TRAILER_LINES = 64
 
 _VALUE = rb"(?:%s|%s)" % (TOKEN, QUOTED_STRING)
@@ -119,7 +119,9 @@
             max_lines -= 1
             size = int(line[1], 16)
             bytes_left -= size
-            position = line.end()
+            start, position = position, line.end()
+            if position - start > MAX_FRAMING_LINE_BYTES:
+                raise MalformedMessageError(MalformedReason.LINE_TOO_LONG)
             end = position + size
             if not size:
                 self.state = ChunkedState.TRAILER
@@ -166,6 +168,8 @@
         if line_end == start:
             self.state = ChunkedState.COMPLETE
             return start + CRLF_BYTES
+        if line_end + CRLF_BYTES - start > MAX_FRAMING_LINE_BYTES:
+            raise MalformedMessageError(MalformedReason.LINE_TOO_LONG)
         self._trailer_lines += 1
         if self._trailer_lines > MAX_TRAILER_LINES or not FIELD_LINE.fullmatch(data, start, line_end):
             raise MalformedMessageError(MalformedReason.TRAILER)
@@ -180,7 +184,7 @@
         """
         if data.find(CRLF, start) >= 0:
             raise MalformedMessageError(reason)
-        if len(data) - start > MAX_FRAMING_LINE_BYTES:
+        if len(data) - start >= MAX_FRAMING_LINE_BYTES:
             raise MalformedMessageError(MalformedReason.LINE_TOO_LONG)
         self.partial = data[start:]
         return len(data)
--- a/tests/test_chunked_bodies.py
+++ b/tests/test_chunked_bodies.py
@@ -12,6 +12,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from cloverwell.codec.chunked_body import MAX_FRAMING_LINE_BYTES
 from cloverwell.codec.lines import MAX_VALUE_BYTES
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -154,6 +155,23 @@
     assert receive(HEAD + b"5\r\n12.90\r\n0\r\n%s\r\n\r\n" % trailer) == (Verdict.COMPLETE, b"12.90")
 
 
+@pytest.mark.parametrize("line_bytes", [MAX_FRAMING_LINE_BYTES + extra for extra in (-1, 0, 1, 2, 1000)])
+@pytest.mark.parametrize("place", ["size", "trailer"])
+def test_a_line_is_as_long_as_it_may_be_under_any_split(line_bytes, place):
+    # Guards against a limit that holds only for a line which arrives in parts.
+    if place == "size":
+        line = b"5;" + b"a" * (line_bytes - 4)
+        body, first = line + b"\r\n12.90\r\n0\r\n\r\n", 0
+    else:
+        line = b"a:" + b"b" * (line_bytes - 4)
+        body, first = b"5\r\n12.90\r\n0\r\n" + line + b"\r\n\r\n", len(b"5\r\n12.90\r\n0\r\n")
+    served = line_bytes <= MAX_FRAMING_LINE_BYTES
+    wanted = (Verdict.COMPLETE, b"12.90") if served else (Verdict.MALFORMED, b"")
+    end = len(HEAD) + first + line_bytes
+    for splits in ([], [end - 1000], [end - 3], [end - 2], [end - 1], [end], range(0, len(HEAD + body), 100)):
+        assert receive(HEAD + body, splits) == wanted
+
+
 def test_a_size_with_many_zeros_in_front_is_read():
     # RFC 9112, 7.1: chunk-size = 1*HEXDIG.
     body = b"%s5\r\n12.90\r\n%s\r\n\r\n" % (b"0" * 500, b"0" * 500)
