--- a/cloverwell/codec/http_head.py
+++ b/cloverwell/codec/http_head.py
@@ -16,7 +16,7 @@
 FIELD_BYTES = 160  # the memory that a field takes besides its characters
 FINAL_STATUS = 200  # The answers below are interim ones, which a final one follows.
 STATUSES_WITHOUT_BODY = (204, 304)  # RFC 9112, 6.3, rule 1
-OPTIONAL_WHITESPACE = " \t"
+WHITESPACE = " \t"
 
 # Words may be separated by any white space (RFC 9112, 4).
 _STATUS_LINE = re.compile(rb"HTTP/1\.([0-9])[ \t]+([1-9][0-9]{2})(?:[ \t][^\x00\r\n]*)?")
@@ -71,7 +71,7 @@
         if match is None:
             raise MalformedMessageError(MalformedReason.HEADER)
         name = match[1].decode("latin-1").lower()
-        value = match[2].decode("latin-1").strip(OPTIONAL_WHITESPACE)
+        value = match[2].decode("latin-1").strip(WHITESPACE)
         self.size_bytes += match.endpos + FIELD_BYTES  # `endpos` is the length of the line.
         headers = self.headers
         headers[name] = f"{headers[name]}, {value}" if name in headers else value
@@ -122,5 +122,5 @@
 
 def _list_elements(text: str) -> list[str]:
     """Return the elements of a list; empty ones are ignored (RFC 9110, 5.6.1.2)."""
-    elements = (element.strip(OPTIONAL_WHITESPACE) for element in text.split(","))
+    elements = (element.strip(WHITESPACE) for element in text.split(","))
     return [element for element in elements if element]
--- a/lab/loopback/answer_forms.py
+++ b/lab/loopback/answer_forms.py
@@ -90,10 +90,15 @@
     return _chunked(fields, _chunk(body) + LAST_CHUNK)
 
 
+def in_chunks(body: bytes, chunk_bytes: int) -> bytes:
+    """Return a body in chunks of so many bytes."""
+    chunks = [_chunk(body[start : start + chunk_bytes]) for start in range(0, len(body), chunk_bytes)]
+    return b"".join(chunks) + LAST_CHUNK
+
+
 def _many_chunks(body: bytes, fields: bytes, draw: random.Random) -> bytes:
     size = draw.randint(1, MAX_CHUNK_BYTES) if len(body) < MAX_MALFORMED_BYTES else 4096
-    chunks = [_chunk(body[start : start + size]) for start in range(0, len(body), size)]
-    return _chunked(fields, b"".join(chunks) + LAST_CHUNK)
+    return _chunked(fields, in_chunks(body, size))
 
 
 def _zeros_and_capitals(body: bytes, fields: bytes, _random: random.Random) -> bytes:
--- a/lab/memory/neighbours.py
+++ b/lab/memory/neighbours.py
@@ -13,6 +13,7 @@
 import sys
 from functools import cache
 
+from lab.loopback.answer_forms import in_chunks
 from lab.loopback.event_time import EventTime
 from lab.loopback.nodes import StandIn, read_head
 
@@ -32,11 +33,7 @@
     return b"v" * size_bytes
 
 
-@cache
-def chunked(value: bytes, chunk_bytes: int) -> bytes:
-    """Return a value in chunks of so many bytes."""
-    chunks = [value[start : start + chunk_bytes] for start in range(0, len(value), chunk_bytes)]
-    return b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks) + b"0\r\n\r\n"
+_in_chunks = cache(in_chunks)  # Many clients ask for the same value.
 
 
 class SizedCacheNode(StandIn):
@@ -77,7 +74,7 @@
             body = b"receipt" if method == "PUT" else value_of(target)
             framing = f"Content-Length: {len(body)}"
             if chunk := CHUNK.search(target):
-                body = chunked(body, int(chunk[1]))
+                body = _in_chunks(body, int(chunk[1]))
                 framing = "Transfer-Encoding: chunked"
             head = f"HTTP/1.1 200 OK\r\n{framing}\r\nRequest-Id: {headers['request-id']}\r\n"
             writer.write(head.encode() + b"\r\n" + body)
--- a/tests/http_receiver.py
+++ b/tests/http_receiver.py
@@ -25,9 +25,9 @@
         self.is_malformed = False
         self.closes = []  # of each answer, whether the connection carries no further one
 
-    def answer_received(self, *parts):
-        self.bodies.append(next(part for part in parts if isinstance(part, bytes)))
-        self.closes.append(parts[-1])
+    def answer_received(self, _head, body, closes):
+        self.bodies.append(body)
+        self.closes.append(closes)
 
     def framingLost(self, _reason):
         self.is_malformed = True
--- a/tests/http_reference.py
+++ b/tests/http_reference.py
@@ -27,11 +27,10 @@
 
 @dataclass(frozen=True)
 class Body:
-    """A body's verdict and, of a complete one, its data and the number of bytes it took."""
+    """A body's verdict and, of a complete one, its data."""
 
     verdict: Verdict
     data: bytes = b""
-    length: int = 0
 
 
 def split_line(message, start):
@@ -45,7 +44,7 @@
     while (line := split_line(message, start)) is not None:
         start += len(line) + len(CRLF)
         if not line:
-            return Body(Verdict.COMPLETE, data, start)
+            return Body(Verdict.COMPLETE, data)
         if not FIELD_LINE.fullmatch(line):
             return Body(Verdict.MALFORMED)
     return Body(Verdict.INCOMPLETE)
--- a/tests/test_chunk_turns.py
+++ b/tests/test_chunk_turns.py
@@ -6,7 +6,7 @@
 import pytest
 from http_receiver import Receiver
 from rig import read
-from test_malformed_origin_answers import CHUNKED, miss, origin_request
+from test_malformed_origin_answers import CHUNKED, begin_fetch, origin_request
 
 from cloverwell.memory_budget import MemoryBudget
 
@@ -87,10 +87,7 @@
 def test_a_connection_is_usable_behind_a_body_that_took_several_turns(rig):
     # Guards against an idle connection that still counts as one with half an answer, and is closed.
     place = rig()
-    client = place.client(read(1))
-    miss(place)
-    origin = place.origin.accept()
-    origin_request(place, origin, b"GET /k1 ")
+    client, origin = begin_fetch(place)
     origin.sendall(CHUNKED + chunked(16 * 1024, 1) + b"0\r\n\r\n")
     place.receive_until(client, b"x\r\n")
     place.advance_clock(1000.0)
--- a/tests/test_malformed_origin_answers.py
+++ b/tests/test_malformed_origin_answers.py
@@ -53,6 +53,15 @@
     node.sendall(b"EN O%s\r\n" % re.search(rb" O(\S+)", line)[1])
 
 
+def begin_fetch(rig):
+    """Has a client read a value that only the origin has; returns the client and the origin's connection."""
+    client = rig.client(read(1))
+    miss(rig)
+    origin = rig.origin.accept()
+    origin_request(rig, origin, b"GET /k1 ")
+    return client, origin
+
+
 def send(rig, connection, answer, byte_by_byte=False):
     """Sends an answer, which the proxy gets in one piece or byte by byte."""
     for piece in [answer[at : at + 1] for at in range(len(answer))] if byte_by_byte else [answer]:
@@ -73,10 +82,7 @@
 def test_a_read_with_a_malformed_chunk_is_tried_again(rig, body, reason, byte_by_byte):
     # Guards against a value that is served with the bytes behind it, or without its last byte.
     place = rig()
-    client = place.client(read(1))
-    miss(place)
-    first = place.origin.accept()
-    origin_request(place, first, b"GET /k1 ")
+    client, first = begin_fetch(place)
     send(place, first, CHUNKED + body, byte_by_byte)
     second = place.origin.accept()
     origin_request(place, second, b"GET /k1 ")
@@ -106,10 +112,7 @@
 def test_a_read_with_a_head_that_contradicts_itself_is_tried_again(rig, lines, body, reason):
     # Guards against a head of which one line is read and another one that contradicts it is passed over.
     place = rig()
-    client = place.client(read(1))
-    miss(place)
-    first = place.origin.accept()
-    origin_request(place, first, b"GET /k1 ")
+    client, first = begin_fetch(place)
     send(place, first, b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n\r\n" + body)
     second = place.origin.accept()
     origin_request(place, second, b"GET /k1 ")
@@ -121,10 +124,7 @@
 def test_a_value_without_a_length_is_served_at_the_close(rig):
     # Guards against a right answer that is refused because no header announces the close.
     place = rig()
-    client = place.client(read(1))
-    miss(place)
-    origin = place.origin.accept()
-    origin_request(place, origin, b"GET /k1 ")
+    client, origin = begin_fetch(place)
     send(place, origin, b"HTTP/1.1 200 OK\r\n\r\n" + VALUE)
     origin.close()
     assert place.receive_until(client, b"12.90\r\n") == b"VA 5 O1\r\n12.90\r\n"
